--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# make            builds build/fescuenotch
+# make demo       sets up, builds and shows the whole path in separate processes
+# make test       sets up, builds and runs every test
+# make bench      runs every experiment; tables and plots under build/report/
+# make lint       formatter and linter
+BUILD ?= build
+PACKAGES := g++ cmake ninja-build libboost1.81-dev libboost-log1.81-dev libboost-test1.81-dev libmicrohttpd-dev \
+	libcurl4-openssl-dev libpopt-dev libflatbuffers-dev nlohmann-json3-dev libxxhash-dev
+LINT_PACKAGES := clang-format clang-tidy
+
+.PHONY: all setup setup-lint configure demo test test-asan test-tsan bench lint format clean
+
+all: configure
+	cmake --build $(BUILD)
+
+# Installs what is missing; on a machine that has everything it asks no registry.
+setup:
+	@bash tools/install_packages.sh $(PACKAGES)
+
+setup-lint:
+	@bash tools/install_packages.sh $(PACKAGES) $(LINT_PACKAGES)
+
+configure: setup
+	@cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS) > $(BUILD)-configure.log 2>&1 || (cat $(BUILD)-configure.log; exit 1)
+	@rm -f $(BUILD)-configure.log
+
+demo: all
+	bash tools/demo.sh $(BUILD)
+
+test: all
+	bash tools/run_tests.sh $(BUILD)
+
+test-asan:
+	$(MAKE) test BUILD=build-asan CMAKE_FLAGS=-DFESCUENOTCH_SANITIZE=address
+
+test-tsan:
+	$(MAKE) test BUILD=build-tsan CMAKE_FLAGS=-DFESCUENOTCH_SANITIZE=thread
+
+bench: all
+	bash tools/bench.sh $(BUILD)
+
+format:
+	git ls-files '*.cpp' '*.h' | grep -v _generated.h | xargs clang-format -i
+
+lint: setup-lint configure
+	bash tools/lint.sh $(BUILD)
+
+clean:
+	rm -rf build build-asan build-tsan
