--- a/src/config/store.h
+++ b/src/config/store.h
@@ -9,6 +9,7 @@
 #include "config/snapshot.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -53,6 +54,8 @@
     /// Builds the snapshot of `profile`, whole and checked, keeping withdrawn services that `old` still routes to.
     /// Null when the profile is unknown or withdrawn; `old` itself while a newer one is not complete.
     virtual SnapshotPtr build(const std::string &profile, const SnapshotPtr &old) const = 0;
+    /// The newest valid document of a service; nothing when it is unknown or withdrawn.
+    virtual std::optional<Service> service(const std::string &name) const = 0;
     /// The profile that a service follows, empty when unknown.
     virtual std::string profileOf(const std::string &service) const = 0;
 };
