--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Regenerates the FlatBuffers headers; needs Debian's flatbuffers-compiler. The result is committed.
+set -eu
+cd "$(dirname "$0")/../src/wire"
+for schema in *.fbs; do
+    flatc --cpp --scoped-enums "$schema"
+done
