--- /dev/null
+++ b/src/config/jsonnode.cpp
@@ -0,0 +1,174 @@
+#include "config/jsonnode.h"
+
+#include "config/strictjson.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr std::size_t MaxShownLength = 60; ///< characters of a bad value in an error
+
+std::string shown(const nlohmann::json &value)
+{
+    std::string text = value.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+    if (text.size() > MaxShownLength) {
+        text = text.substr(0, MaxShownLength) + "...";
+    }
+    return text;
+}
+
+leaf::error_id refuseValue(const JsonNode &node, const std::string &remedy)
+{
+    return refuseNode(node, shown(*node.value) + " is not allowed", remedy);
+}
+
+std::string joined(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (const auto &name : names) {
+        text += text.empty() ? name : ", " + name;
+    }
+    return text;
+}
+
+} // namespace
+
+bool isDocumentName(std::string_view text)
+{
+    const auto isAllowed = [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; };
+    return !text.empty() && text.size() <= MaxNameLength && std::all_of(text.begin(), text.end(), isAllowed);
+}
+
+leaf::error_id refuseNode(const JsonNode &node, const std::string &what, const std::string &remedy)
+{
+    return fail(ErrorKind::InvalidDocument, node.pointer + ": " + what, remedy);
+}
+
+Result<std::vector<std::pair<std::string, JsonNode>>> members(const JsonNode &node, std::size_t max)
+{
+    if (!node.value->is_object()) {
+        return refuseValue(node, "use an object");
+    }
+    if (node.value->size() > max) {
+        return refuseNode(node, std::to_string(node.value->size()) + " members are too many", "use at most " + std::to_string(max));
+    }
+    std::vector<std::pair<std::string, JsonNode>> found;
+    for (const auto &[name, value] : node.value->items()) {
+        found.emplace_back(name, JsonNode{&value, pointerOf(node.pointer, name)});
+    }
+    return found;
+}
+
+Result<std::vector<JsonNode>> elements(const JsonNode &node, std::size_t max)
+{
+    if (!node.value->is_array()) {
+        return refuseValue(node, "use an array");
+    }
+    if (node.value->size() > max) {
+        return refuseNode(node, std::to_string(node.value->size()) + " elements are too many", "use at most " + std::to_string(max));
+    }
+    std::vector<JsonNode> found;
+    for (const auto &value : *node.value) {
+        found.push_back({&value, pointerOf(node.pointer, std::to_string(found.size()))});
+    }
+    return found;
+}
+
+Result<void> allowMembers(const JsonNode &node, const std::vector<std::string> &allowed)
+{
+    if (!node.value->is_object()) {
+        return refuseValue(node, "use an object with " + joined(allowed));
+    }
+    for (const auto &[name, value] : node.value->items()) {
+        if (std::find(allowed.begin(), allowed.end(), name) == allowed.end()) {
+            return fail(ErrorKind::InvalidDocument, pointerOf(node.pointer, name) + ": unknown field", "use only " + joined(allowed));
+        }
+    }
+    return {};
+}
+
+Result<JsonNode> member(const JsonNode &node, const std::string &name)
+{
+    if (!node.value->is_object()) {
+        return refuseValue(node, "use an object with " + name);
+    }
+    const auto found = findMember(node, name);
+    if (!found) {
+        return fail(ErrorKind::InvalidDocument, pointerOf(node.pointer, name) + ": missing", "add " + name);
+    }
+    return *found;
+}
+
+std::optional<JsonNode> findMember(const JsonNode &node, const std::string &name)
+{
+    const auto it = node.value->find(name);
+    if (it == node.value->end()) {
+        return std::nullopt;
+    }
+    return JsonNode{&*it, pointerOf(node.pointer, name)};
+}
+
+Result<std::string> asText(const JsonNode &node)
+{
+    if (!node.value->is_string()) {
+        return refuseValue(node, "use a text");
+    }
+    return node.value->get<std::string>();
+}
+
+Result<std::string> asName(const JsonNode &node)
+{
+    if (!node.value->is_string() || !isDocumentName(node.value->get_ref<const std::string &>())) {
+        return refuseValue(node, "use 1 to " + std::to_string(MaxNameLength) + " letters, digits, '-', '_' or '.'");
+    }
+    return node.value->get<std::string>();
+}
+
+Result<std::string> asIpNumber(const JsonNode &node)
+{
+    if (!node.value->is_string() || !isIpNumber(node.value->get_ref<const std::string &>())) {
+        return refuseValue(node, "use an IPv4 number, such as 127.1.0.11");
+    }
+    return node.value->get<std::string>();
+}
+
+Result<Endpoint> asEndpoint(const JsonNode &node)
+{
+    BOOST_LEAF_AUTO(text, asText(node));
+    const auto parsed = valueOrError([&] { return parseEndpoint(text); });
+    if (parsed.index() != 0) {
+        return refuseValue(node, "use an IPv4 number and a port from 1 to 65535, such as 127.1.0.11:9000");
+    }
+    return std::get<0>(parsed);
+}
+
+Result<bool> asFlag(const JsonNode &node)
+{
+    if (!node.value->is_boolean()) {
+        return refuseValue(node, "use true or false");
+    }
+    return node.value->get<bool>();
+}
+
+Result<std::uint64_t> asNumber(const JsonNode &node, std::uint64_t low, std::uint64_t high)
+{
+    const bool inRange = node.value->is_number_unsigned() && node.value->get<std::uint64_t>() >= low && node.value->get<std::uint64_t>() <= high;
+    if (!inRange) {
+        return refuseValue(node, "use a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+    }
+    return node.value->get<std::uint64_t>();
+}
+
+Result<std::size_t> asChoice(const JsonNode &node, const std::vector<std::string> &allowed)
+{
+    const auto it = node.value->is_string() ? std::find(allowed.begin(), allowed.end(), node.value->get_ref<const std::string &>()) : allowed.end();
+    if (it == allowed.end()) {
+        return refuseValue(node, "use " + joined(allowed));
+    }
+    return static_cast<std::size_t>(it - allowed.begin());
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/config/store.cpp
@@ -0,0 +1,213 @@
+#include "config/store.h"
+
+#include "config/closure.h"
+#include "config/listing.h"
+#include "config/storeentry.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Fescuenotch {
+
+namespace {
+
+class MapRecordStore : public RecordStore, private DocumentSource
+{
+public:
+    std::vector<Record> apply(const std::vector<Record> &records) override;
+    std::vector<Record> applyPage(const ConfigPage &page) override;
+    std::vector<Record> records(const std::string &key) const override;
+    std::vector<KeyVersions> versions() const override;
+    Version highWater() const override
+    {
+        return m_highWater;
+    }
+    Version platformMark() const override;
+    std::uint64_t hash() const override
+    {
+        return m_hash;
+    }
+    std::vector<RejectedRecord> rejected() const override;
+    std::uint64_t stalePages() const override
+    {
+        return m_stalePages;
+    }
+    SnapshotPtr build(const std::string &profile, const SnapshotPtr &old) const override
+    {
+        return buildSnapshot(*this, profile, old);
+    }
+    std::optional<Service> service(const std::string &name) const override;
+    std::string profileOf(const std::string &service) const override;
+
+private:
+    VersionedDocument<Profile> profileDocument(const std::string &name) const override;
+    VersionedDocument<Service> serviceDocument(const std::string &name) const override;
+    bool take(const Record &record);
+    std::vector<Record> missingFromListing() const;
+    void moveMark(const ConfigPage &page, bool listingEnds);
+    const StoreEntry *find(const std::string &key) const;
+
+    std::map<std::string, StoreEntry> m_entries;
+    Listing m_listing;
+    Version m_highWater;
+    Version m_mark; ///< up to where the platform was read without a gap
+    std::uint64_t m_hash = 0; ///< sum over the entries, so that their order does not matter
+    std::uint64_t m_stalePages = 0;
+};
+
+bool MapRecordStore::take(const Record &record)
+{
+    if (record.version == Version()) {
+        return false;
+    }
+    auto &entry = m_entries[record.key];
+    const auto before = entry.newest() == nullptr ? 0 : entry.hash();
+    const bool isNews = entry.take(record);
+    m_hash += entry.hash() - before;
+    m_highWater = std::max(m_highWater, record.version);
+    return isNews;
+}
+
+std::vector<Record> MapRecordStore::apply(const std::vector<Record> &records)
+{
+    std::vector<Record> news;
+    for (const auto &record : records) {
+        if (take(record)) {
+            news.push_back(record);
+        }
+    }
+    return news;
+}
+
+std::vector<Record> MapRecordStore::applyPage(const ConfigPage &page)
+{
+    if (Version{page.epoch, page.revision} < m_highWater) {
+        ++m_stalePages;
+        m_listing.drop();
+        return {};
+    }
+    const bool listingEnds = m_listing.add(page);
+    auto news = apply(page.changes);
+    if (listingEnds) {
+        const auto withdrawn = apply(missingFromListing());
+        news.insert(news.end(), withdrawn.begin(), withdrawn.end());
+    }
+    moveMark(page, listingEnds);
+    return news;
+}
+
+std::vector<Record> MapRecordStore::missingFromListing() const
+{
+    std::vector<Record> tombstones;
+    for (const auto &[key, entry] : m_entries) {
+        const auto &newest = entry.newest()->record;
+        const bool isMissing = m_listing.keys().count(key) == 0 && newest.version < m_listing.version();
+        if (isMissing && newest.value) {
+            tombstones.push_back({key, m_listing.version(), std::nullopt});
+        }
+    }
+    return tombstones;
+}
+
+void MapRecordStore::moveMark(const ConfigPage &page, bool listingEnds)
+{
+    const Version pageVersion{page.epoch, page.revision};
+    if (listingEnds) {
+        m_mark = pageVersion;
+        return;
+    }
+    if (m_listing.isOpen()) {
+        return;
+    }
+    const bool follows = page.epoch == m_mark.epoch && (!page.after || *page.after <= m_mark.revision);
+    if (!follows) {
+        m_mark = page.epoch == m_mark.epoch ? m_mark : Version();
+        return;
+    }
+    if (!page.more) {
+        m_mark = std::max(m_mark, pageVersion);
+    }
+    for (const auto &change : page.changes) {
+        m_mark = std::max(m_mark, change.version);
+    }
+}
+
+Version MapRecordStore::platformMark() const
+{
+    return m_listing.isOpen() ? Version{m_listing.version().epoch, m_listing.lastRevision()} : m_mark;
+}
+
+const StoreEntry *MapRecordStore::find(const std::string &key) const
+{
+    const auto it = m_entries.find(key);
+    return it == m_entries.end() ? nullptr : &it->second;
+}
+
+std::vector<Record> MapRecordStore::records(const std::string &key) const
+{
+    const auto *entry = find(key);
+    return entry == nullptr ? std::vector<Record>() : entry->records();
+}
+
+std::vector<KeyVersions> MapRecordStore::versions() const
+{
+    std::vector<KeyVersions> found;
+    for (const auto &[key, entry] : m_entries) {
+        found.push_back({key, versionOf(entry.newest()), versionOf(entry.valid())});
+    }
+    return found;
+}
+
+std::vector<RejectedRecord> MapRecordStore::rejected() const
+{
+    std::vector<RejectedRecord> found;
+    for (const auto &[key, entry] : m_entries) {
+        if (!entry.newest()->fault.empty()) {
+            found.push_back({key, versionOf(entry.newest()), entry.newest()->fault});
+        }
+    }
+    return found;
+}
+
+VersionedDocument<Profile> MapRecordStore::profileDocument(const std::string &name) const
+{
+    const auto *entry = find("profile/" + name);
+    if (entry == nullptr || entry->valid() == nullptr) {
+        return {};
+    }
+    return {versionOf(entry->valid()), entry->valid()->profile};
+}
+
+VersionedDocument<Service> MapRecordStore::serviceDocument(const std::string &name) const
+{
+    const auto *entry = find("service/" + name);
+    if (entry == nullptr || entry->valid() == nullptr) {
+        return {};
+    }
+    const auto &last = entry->held() == nullptr ? entry->valid() : entry->held();
+    return {versionOf(last), last->service};
+}
+
+std::optional<Service> MapRecordStore::service(const std::string &name) const
+{
+    const auto *entry = find("service/" + name);
+    if (entry == nullptr || entry->valid() == nullptr || entry->valid()->service == nullptr) {
+        return std::nullopt;
+    }
+    return *entry->valid()->service;
+}
+
+std::string MapRecordStore::profileOf(const std::string &service) const
+{
+    const auto found = serviceDocument(service);
+    return found.document == nullptr ? std::string() : found.document->profile;
+}
+
+} // namespace
+
+std::unique_ptr<RecordStore> makeRecordStore()
+{
+    return std::make_unique<MapRecordStore>();
+}
+
+} // namespace Fescuenotch
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -1,7 +1,8 @@
 // The record store: what this node knows of the platform's keys, and the snapshot that follows from it.
 //
 // Per key it keeps two records: the newest seen, and the newest that passed validation; both spread, so that a
-// restarted node finds the last good one while the newest is bad. Withdrawals are kept as tombstones.
+// restarted node finds the last good one while the newest is bad. Withdrawals are kept as tombstones; of a withdrawn
+// service the last document is kept too, for profiles that still route to it.
 // No locks and no clock inside: the owner guards it (src/node).
 #pragma once
 
@@ -41,18 +42,26 @@
     /// Takes a page of the platform. A complete page of the same or a higher epoch also turns keys that it lacks into
     /// tombstones. A page older than what is held changes nothing and counts as stale.
     virtual std::vector<Record> applyPage(const ConfigPage &page) = 0;
-    /// Both records of a key (newest, and newest valid when it differs); empty when unknown.
+    /// The records of a key: newest, newest valid when it differs, last document of a withdrawn service; empty when unknown.
     virtual std::vector<Record> records(const std::string &key) const = 0;
     virtual std::vector<KeyVersions> versions() const = 0;
     /// Highest version over all keys.
     virtual Version highWater() const = 0;
+    /// Up to where this node read the platform without a gap: what to ask it after. Differs from the high water when records
+    /// came from peers. Zero asks for everything; it falls back to zero when the platform's epoch rises.
+    virtual Version platformMark() const
+    {
+        return highWater();
+    }
     /// Hash over all key and version pairs (xxHash), equal on nodes that hold the same.
     virtual std::uint64_t hash() const = 0;
     virtual std::vector<RejectedRecord> rejected() const = 0;
     /// Pages found stale so far.
     virtual std::uint64_t stalePages() const = 0;
     /// Builds the snapshot of `profile`, whole and checked, keeping withdrawn services that `old` still routes to.
-    /// Null when the profile is unknown or withdrawn; `old` itself while a newer one is not complete.
+    /// Null when the profile is unknown or withdrawn. While a newer profile is not complete, the profile of `old` stays with
+    /// its services brought up to date; `old` itself is given when nothing changed. Pass the last snapshot that was in force
+    /// as `old`, also after a null, so that the version never goes down.
     virtual SnapshotPtr build(const std::string &profile, const SnapshotPtr &old) const = 0;
     /// The newest valid document of a service; nothing when it is unknown or withdrawn.
     virtual std::optional<Service> service(const std::string &name) const = 0;
--- /dev/null
+++ b/src/config/storeentry.cpp
@@ -0,0 +1,125 @@
+#include "config/storeentry.h"
+
+#include "config/jsonnode.h"
+
+#include <xxhash.h>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr const char *ProfilePrefix = "profile/";
+constexpr const char *ServicePrefix = "service/";
+
+std::string nameAfter(const std::string &key, const std::string &prefix)
+{
+    const bool fits = key.rfind(prefix, 0) == 0 && isDocumentName(std::string_view(key).substr(prefix.size()));
+    return fits ? key.substr(prefix.size()) : std::string();
+}
+
+template<typename Document>
+std::shared_ptr<const Document> parsed(CheckedRecord &checked, Result<Document> (*parse)(const std::string &))
+{
+    auto result = valueOrError([&] { return parse(*checked.record.value); });
+    if (result.index() != 0) {
+        checked.fault = describe(std::get<1>(result));
+        return nullptr;
+    }
+    return std::make_shared<const Document>(std::move(std::get<0>(result)));
+}
+
+} // namespace
+
+std::string profileNameOf(const std::string &key)
+{
+    return nameAfter(key, ProfilePrefix);
+}
+
+std::string serviceNameOf(const std::string &key)
+{
+    return nameAfter(key, ServicePrefix);
+}
+
+CheckedRecord checkRecord(const Record &record)
+{
+    CheckedRecord checked{record, {}, nullptr, nullptr};
+    const bool isProfile = !profileNameOf(record.key).empty();
+    const bool isService = !serviceNameOf(record.key).empty();
+    if (!isProfile && !isService) {
+        checked.fault = "/: '" + record.key + "' is no key; use profile/NAME or service/NAME, NAME of letters, digits, '-', '_' or '.'";
+    } else if (record.value && isProfile) {
+        checked.profile = parsed(checked, parseProfile);
+    } else if (record.value) {
+        checked.service = parsed(checked, parseService);
+    }
+    return checked;
+}
+
+Version versionOf(const CheckedRecordPtr &checked)
+{
+    return checked == nullptr ? Version() : checked->record.version;
+}
+
+bool StoreEntry::take(const Record &record)
+{
+    if (!wants(record.version)) {
+        return false;
+    }
+    const auto checked = std::make_shared<const CheckedRecord>(checkRecord(record));
+    const bool isNewest = record.version > versionOf(m_newest);
+    if (isNewest) {
+        m_newest = checked;
+    }
+    if (!checked->fault.empty()) {
+        return isNewest;
+    }
+    if (record.version > versionOf(m_valid)) {
+        takeValid(checked);
+        return true;
+    }
+    const bool isHeld = checked->service != nullptr;
+    if (isHeld) {
+        m_held = checked;
+    }
+    return isHeld;
+}
+
+bool StoreEntry::wants(Version version) const
+{
+    if (version == versionOf(m_newest)) {
+        return false;
+    }
+    const bool isWithdrawn = m_valid != nullptr && !m_valid->record.value;
+    return version > versionOf(m_valid) || (isWithdrawn && version < versionOf(m_valid) && version > versionOf(m_held));
+}
+
+void StoreEntry::takeValid(CheckedRecordPtr checked)
+{
+    const bool isTombstone = !checked->record.value;
+    if (!isTombstone) {
+        m_held = nullptr;
+    } else if (m_valid != nullptr && m_valid->service != nullptr) {
+        m_held = m_valid;
+    }
+    m_valid = std::move(checked);
+}
+
+std::vector<Record> StoreEntry::records() const
+{
+    std::vector<Record> found{m_newest->record};
+    if (m_valid != nullptr && m_valid != m_newest) {
+        found.push_back(m_valid->record);
+    }
+    if (m_held != nullptr) {
+        found.push_back(m_held->record);
+    }
+    return found;
+}
+
+std::uint64_t StoreEntry::hash() const
+{
+    const std::string text = m_newest->record.key + ' ' + toString(m_newest->record.version) + ' ' + toString(versionOf(m_valid));
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace Fescuenotch
