--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # make bench      runs every experiment; tables and plots under build/report/
 # make lint       formatter and linter
 BUILD ?= build
-PACKAGES := g++ cmake ninja-build libboost1.81-dev libboost-log1.81-dev libboost-test1.81-dev libmicrohttpd-dev \
+PACKAGES := curl g++ cmake ninja-build libboost1.81-dev libboost-log1.81-dev libboost-test1.81-dev libmicrohttpd-dev \
 	libcurl4-openssl-dev libpopt-dev libflatbuffers-dev nlohmann-json3-dev libxxhash-dev
 LINT_PACKAGES := clang-format clang-tidy
 
