Request decisions and the entry and exit handlers, whole path

Routing, choice, admission and retry as pure classes; the entry handler runs attempts and tells the outcome, the exit handler admits them to the target's slots. A long body goes to one attempt only, because it cannot be kept for another. Tested over an in-memory transport and a scripted target.

--- /dev/null
+++ b/src/node/attemptregister.cpp
@@ -0,0 +1,34 @@
+#include "node/attemptregister.h"
+
+namespace Fescuenotch {
+
+AttemptRegister::Verdict AttemptRegister::admit(TimePoint now, AttemptId id, TimePoint deadline)
+{
+    auto &shard = m_shards[(id.node ^ id.number) % ShardCount];
+    const std::lock_guard lock(shard.mutex);
+    while (!shard.byDeadline.empty() && shard.byDeadline.begin()->first < now) {
+        shard.deadlines.erase(shard.byDeadline.begin()->second);
+        shard.byDeadline.erase(shard.byDeadline.begin());
+    }
+    if (shard.deadlines.contains(id)) {
+        return Verdict::Seen;
+    }
+    if (shard.deadlines.size() >= ShardLimit) {
+        return Verdict::Full;
+    }
+    shard.deadlines.emplace(id, deadline);
+    shard.byDeadline.emplace(deadline, id);
+    return Verdict::New;
+}
+
+std::size_t AttemptRegister::size() const
+{
+    std::size_t total = 0;
+    for (const auto &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        total += shard.deadlines.size();
+    }
+    return total;
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/node/attemptregister.h
@@ -0,0 +1,34 @@
+// Remembers the non-idempotent attempts that an exit node has seen, so that a late copy of one never runs again.
+//
+// How to use: `admit` each id once; false says that it was seen. An id is kept until the deadline of its attempt, after
+// which a copy is refused by its deadline alone. Sharded, each shard under its own lock.
+#pragma once
+
+#include "plugins/interfaces.h"
+
+#include <array>
+#include <map>
+#include <mutex>
+
+namespace Fescuenotch {
+
+class AttemptRegister
+{
+public:
+    enum class Verdict { New, Seen, Full };
+    Verdict admit(TimePoint now, AttemptId id, TimePoint deadline);
+    std::size_t size() const; ///< ids kept
+
+private:
+    struct Shard {
+        mutable std::mutex mutex;
+        std::map<AttemptId, TimePoint> deadlines;
+        std::multimap<TimePoint, AttemptId> byDeadline;
+    };
+    static constexpr std::size_t ShardCount = 8;
+    static constexpr std::size_t ShardLimit = 16'384; ///< ids
+
+    std::array<Shard, ShardCount> m_shards;
+};
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/node/entrycore.cpp
@@ -0,0 +1,159 @@
+#include "node/entrycore.h"
+
+#include "node/headernames.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Fescuenotch {
+
+namespace {
+
+std::uint64_t hashOf(const std::string &text, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+bool contains(const std::vector<std::string> &all, const std::string &one)
+{
+    return std::find(all.begin(), all.end(), one) != all.end();
+}
+
+} // namespace
+
+EntryCore::EntryCore(const EntryParts &parts)
+    : m_parts(parts)
+    , m_metrics(*parts.metrics)
+    , m_nodeHash(hashOf(parts.settings->host, parts.incarnation))
+{
+    ChooserSettings chooser;
+    chooser.dataCentre = parts.settings->dataCentre;
+    RetrySettings retries;
+    std::uint64_t seed = m_nodeHash;
+    for (auto &shard : m_shards) {
+        chooser.seed = ++seed;
+        retries.seed = ++seed;
+        shard.chooser = makeTargetChooser(chooser);
+        shard.retries = makeRetryPolicy(retries);
+    }
+}
+
+EntryCore::Shard &EntryCore::shardOf(const std::string &serviceName)
+{
+    return m_shards[hashOf(serviceName, 0) % ShardCount];
+}
+
+std::optional<ChosenTarget> EntryCore::choose(const RequestPlan &plan, const std::vector<std::string> &tried)
+{
+    auto passedOver = tried;
+    std::vector<std::string> unreachable;
+    while (true) {
+        auto &shard = shardOf(plan.serviceName);
+        std::unique_lock lock(shard.mutex);
+        const auto target = shard.chooser->choose(Clock::now(), plan.serviceName, *plan.service, passedOver);
+        lock.unlock();
+        if (!target || contains(unreachable, target->host)) {
+            return std::nullopt;
+        }
+        if (const auto peer = m_parts.peerOf(target->host)) {
+            return ChosenTarget{*target, *peer};
+        }
+        unreachable.push_back(target->host);
+        passedOver.push_back(target->host);
+    }
+}
+
+void EntryCore::onRequest(const RequestPlan &plan)
+{
+    auto &shard = shardOf(plan.serviceName);
+    const std::lock_guard lock(shard.mutex);
+    shard.retries->onRequest(Clock::now(), plan.serviceName);
+}
+
+void EntryCore::onAttemptEnd(const RequestPlan &plan, const std::string &host, const AttemptResult &result)
+{
+    m_metrics.onAttempt(result.outcome);
+    auto &shard = shardOf(plan.serviceName);
+    const std::lock_guard lock(shard.mutex);
+    shard.chooser->onEnd(Clock::now(), host, result);
+}
+
+RetryDecision EntryCore::afterFailure(const RequestPlan &plan, const AttemptResult &result, RetryState &state)
+{
+    RetryDecision decision;
+    {
+        auto &shard = shardOf(plan.serviceName);
+        const std::lock_guard lock(shard.mutex);
+        decision = shard.retries->afterFailure(Clock::now(), plan.deadline, plan.serviceName, plan.rule, result, state);
+    }
+    if (decision.retry) {
+        m_metrics.onRetry(decision.reason);
+    } else {
+        m_metrics.onRetryStopped(decision.reason);
+    }
+    return decision;
+}
+
+std::unique_ptr<OutboundAttempt>
+EntryCore::open(const RequestPlan &plan, const ChosenTarget &chosen, std::optional<std::uint64_t> bodyLength, const Headers &headers)
+{
+    AttemptHead head;
+    head.id = {m_nodeHash, m_nextAttempt.fetch_add(1)};
+    head.service = plan.serviceName;
+    head.targetHost = chosen.target.host;
+    head.method = plan.method;
+    head.path = plan.path;
+    head.headers = headers;
+    head.bodyLength = bodyLength;
+    head.deadline = plan.deadline;
+    head.requestClass = plan.rule.requestClass;
+    head.idempotent = plan.rule.idempotent;
+    head.depth = plan.depth;
+    head.version = plan.snapshot->version;
+    {
+        auto &shard = shardOf(plan.serviceName);
+        const std::lock_guard lock(shard.mutex);
+        shard.chooser->onStart(Clock::now(), chosen.target.host);
+    }
+    return m_parts.peers->open(chosen.peer, head);
+}
+
+void EntryCore::onLoad(const std::string &host, const TargetLoad &load)
+{
+    for (auto &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        shard.chooser->onLoad(Clock::now(), host, load);
+    }
+}
+
+void EntryCore::onLeaving(const std::string &host)
+{
+    for (auto &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        shard.chooser->onLeaving(Clock::now(), host);
+    }
+}
+
+void EntryCore::onAlive(const std::string &host)
+{
+    for (auto &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        shard.chooser->onAlive(Clock::now(), host);
+    }
+}
+
+InFlightGuard::InFlightGuard(std::shared_ptr<EntryCore> core)
+    : m_core(std::move(core))
+{
+    ++m_core->inFlight;
+}
+
+InFlightGuard::~InFlightGuard()
+{
+    if (m_core) {
+        --m_core->inFlight;
+    }
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/node/entrysession.cpp
@@ -0,0 +1,290 @@
+// Index: plan of a request, body, attempts, answers.
+#include "node/entrysession.h"
+
+#include "node/answerstream.h"
+#include "node/headernames.h"
+#include "node/headervalues.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <thread>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr std::size_t KeptBodyBytes = 256 * 1024; ///< bytes; longer bodies are streamed to one attempt
+constexpr milliseconds LongestTrustWait{250}; ///< after a pause of this node
+constexpr milliseconds PollPeriod{5};
+constexpr unsigned DeepestCall = 64; ///< a call tree deeper than this is taken for a loop
+
+unsigned statusOf(const Refusal &refusal)
+{
+    switch (refusal.reason) {
+    case Reason::NoRoute:
+        return 404;
+    case Reason::BadRequest:
+        return 400;
+    case Reason::TooLarge:
+        return 413;
+    case Reason::QueueFull:
+    case Reason::WaitTooLong:
+    case Reason::ClassLimit:
+        return refusal.outcome == Outcome::NotRun ? 429 : 502;
+    case Reason::DeadlinePassed:
+        return refusal.outcome == Outcome::NotRun ? 503 : 504;
+    default:
+        return refusal.outcome == Outcome::NotRun ? 503 : 502;
+    }
+}
+
+/// What the caller sent for this node and what a target must not see twice.
+void removeOwnHeaders(Headers &headers)
+{
+    for (const char *name : {HeaderNames::DeadlineMs, HeaderNames::Attempt, HeaderNames::Depth, HeaderNames::RetriesLeft, HeaderNames::ContentLength}) {
+        removeHeader(headers, name);
+    }
+}
+
+} // namespace
+
+// ---- Plan of a request ------------------------------------------------------------------------------------------
+
+EntrySession::EntrySession(std::shared_ptr<EntryCore> core, const CallerRequest &request)
+    : m_guard(core)
+    , m_core(std::move(core))
+    , m_plan(std::make_shared<RequestPlan>())
+    , m_announcedLength(request.hasBody ? request.bodyLength : std::optional<std::uint64_t>(0))
+{
+    makePlan(request);
+    if (!m_refusal) {
+        m_core->onRequest(*m_plan);
+    }
+}
+
+void EntrySession::makePlan(const CallerRequest &request)
+{
+    m_plan->arrived = request.arrived;
+    m_plan->snapshot = m_core->parts().inForce->current();
+    if (!m_plan->snapshot) {
+        refuse(Reason::NoProfile);
+        return;
+    }
+    if (m_core->leaving) {
+        refuse(Reason::Leaving);
+        return;
+    }
+    const auto match = matchRoute(*m_plan->snapshot, request.method, request.path);
+    if (!match) {
+        refuse(Reason::NoRoute);
+        return;
+    }
+    m_plan->serviceName = match->route->service;
+    m_plan->service = match->service;
+    m_plan->rule = *match->rule;
+    m_plan->method = request.method;
+    m_plan->path = request.path;
+    m_plan->headers = request.headers;
+    if (!readLimits(request)) {
+        return;
+    }
+    removeOwnHeaders(m_plan->headers);
+    m_plan->headers.push_back({HeaderNames::RetriesLeft, std::to_string(m_plan->rule.maxAttempts - 1)});
+}
+
+bool EntrySession::readLimits(const CallerRequest &request)
+{
+    m_plan->deadline = request.arrived + m_plan->rule.timeout;
+    if (findHeader(request.headers, HeaderNames::DeadlineMs) != nullptr) {
+        const auto remaining = numberHeader(request.headers, HeaderNames::DeadlineMs);
+        if (!remaining) {
+            return refuse(Reason::BadRequest);
+        }
+        const auto longest = static_cast<std::uint64_t>(m_plan->rule.timeout.count());
+        m_plan->deadline = request.arrived + milliseconds(static_cast<milliseconds::rep>(std::min(*remaining, longest)));
+    }
+    m_plan->depth = static_cast<unsigned>(std::min<std::uint64_t>(numberHeader(request.headers, HeaderNames::Depth).value_or(0), DeepestCall));
+    m_state.depth = m_plan->depth;
+    const auto retriesLeft = numberHeader(request.headers, HeaderNames::RetriesLeft);
+    if (retriesLeft && *retriesLeft + 1 < m_plan->rule.maxAttempts) {
+        m_plan->rule.maxAttempts = static_cast<unsigned>(*retriesLeft) + 1;
+    }
+    return m_plan->depth < DeepestCall || refuse(Reason::BadRequest);
+}
+
+bool EntrySession::refuse(Reason reason, Outcome outcome)
+{
+    m_refusal = Refusal{outcome, reason, milliseconds(1'000)};
+    return false;
+}
+
+bool EntrySession::waitForTrust() const
+{
+    const auto &trusted = m_core->parts().viewTrusted;
+    const auto until = std::min(m_plan->deadline, Clock::now() + LongestTrustWait);
+    while (trusted && !trusted()) {
+        if (Clock::now() >= until) {
+            return false;
+        }
+        std::this_thread::sleep_for(PollPeriod);
+    }
+    return true;
+}
+
+// ---- Body -------------------------------------------------------------------------------------------------------
+
+bool EntrySession::onBody(Bytes piece)
+{
+    if (m_refusal || !m_streamOpen) {
+        return false;
+    }
+    if (!m_streaming && m_body.size() + piece.size() <= KeptBodyBytes) {
+        m_body.append(piece.data(), piece.size());
+        return true;
+    }
+    if (!m_streaming && !startStreaming()) {
+        return false;
+    }
+    m_streamOpen = m_streamOpen && m_attempt->sendBody(piece);
+    return m_streamOpen;
+}
+
+bool EntrySession::startStreaming()
+{
+    m_streaming = true;
+    m_plan->rule.maxAttempts = 1;
+    if (!openAttempt(m_announcedLength)) {
+        return false;
+    }
+    m_streamOpen = m_attempt->sendBody(m_body);
+    m_body = {};
+    return true;
+}
+
+// ---- Attempts ---------------------------------------------------------------------------------------------------
+
+CallerResponse EntrySession::respond(const std::function<bool()> &callerLeft)
+{
+    auto response = m_refusal ? refusalAnswer(*m_refusal) : runAttempts(callerLeft);
+    const auto *outcome = findHeader(response.headers, HeaderNames::Outcome);
+    for (const auto each : {Outcome::Ran, Outcome::NotRun, Outcome::Unknown}) {
+        if (outcome != nullptr && *outcome == outcomeName(each)) {
+            m_core->metrics().onAnswer(m_plan->rule.requestClass, each, Clock::now() - m_plan->arrived);
+        }
+    }
+    return response;
+}
+
+bool EntrySession::openAttempt(std::optional<std::uint64_t> bodyLength)
+{
+    if (!waitForTrust()) {
+        return refuse(Reason::ViewNotTrusted);
+    }
+    const auto chosen = m_core->choose(*m_plan, m_tried);
+    if (!chosen) {
+        return refuse(Reason::NoTarget, m_state.mayHaveRun ? Outcome::Unknown : Outcome::NotRun);
+    }
+    m_tried.push_back(chosen->target.host);
+    m_attempt = std::make_unique<TrackedAttempt>(m_core, m_plan, *chosen, bodyLength, m_plan->headers);
+    return true;
+}
+
+CollectedAnswer EntrySession::runAttempt(const std::function<bool()> &callerLeft)
+{
+    if (!m_streaming) {
+        m_streamOpen = m_attempt->sendBody(m_body);
+    }
+    if (m_streamOpen) {
+        m_attempt->finishBody();
+    }
+    return collectAnswer(*m_attempt, *m_plan, callerLeft);
+}
+
+CallerResponse EntrySession::runAttempts(const std::function<bool()> &callerLeft)
+{
+    while (true) {
+        if (!m_streaming && !openAttempt(m_body.size())) {
+            return refusalAnswer(*m_refusal);
+        }
+        auto collected = runAttempt(callerLeft);
+        if (collected.kind != CollectedAnswer::Kind::Failed) {
+            return answer(std::move(collected));
+        }
+        const auto &result = collected.result;
+        const auto decision = m_core->afterFailure(*m_plan, result, m_state);
+        if (!decision.retry) {
+            const auto reason = result.reason == Reason::None ? decision.reason : result.reason;
+            return refusalAnswer({decision.outcome, reason, decision.retryAfter});
+        }
+        if (!pause(decision.delay, callerLeft)) {
+            return refusalAnswer({m_state.mayHaveRun ? Outcome::Unknown : Outcome::NotRun, Reason::Cancelled, decision.retryAfter});
+        }
+    }
+}
+
+bool EntrySession::pause(Duration delay, const std::function<bool()> &callerLeft) const
+{
+    constexpr milliseconds LongestSleep{20};
+    const auto until = Clock::now() + delay;
+    for (auto now = Clock::now(); now < until; now = Clock::now()) {
+        std::this_thread::sleep_for(std::min<Duration>(until - now, LongestSleep));
+        if (callerLeft && callerLeft()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// ---- Answers ----------------------------------------------------------------------------------------------------
+
+std::string EntrySession::revisionText() const
+{
+    return m_plan->snapshot ? toString(m_plan->snapshot->version) : std::string();
+}
+
+CallerResponse EntrySession::answer(CollectedAnswer collected)
+{
+    CallerResponse response;
+    response.status = collected.head.status;
+    response.bodyLength = collected.head.bodyLength;
+    response.headers = collected.head.headers;
+    for (const char *name : {HeaderNames::ContentLength, HeaderNames::Outcome, HeaderNames::Revision}) {
+        removeHeader(response.headers, name);
+    }
+    response.headers.push_back({HeaderNames::Outcome, outcomeName(Outcome::Ran)});
+    response.headers.push_back({HeaderNames::Revision, revisionText()});
+    if (collected.kind == CollectedAnswer::Kind::Whole) {
+        response.text = std::move(collected.body);
+        if (m_plan->method != "HEAD") {
+            response.bodyLength = response.text.size();
+        }
+        return response;
+    }
+    response.body = std::make_unique<AnswerStream>(m_core, m_plan, std::move(m_attempt), std::move(collected), m_state, m_tried);
+    return response;
+}
+
+CallerResponse EntrySession::refusalAnswer(const Refusal &refusal)
+{
+    m_core->metrics().onRefusal(refusal.reason);
+    if (refusal.reason == Reason::Cancelled) {
+        m_core->metrics().callersLeft.add();
+    }
+    CallerResponse response;
+    response.status = statusOf(refusal);
+    const auto wait = std::max<seconds::rep>(1, std::chrono::ceil<seconds>(refusal.retryAfter).count());
+    response.headers = {{"Content-Type", "application/json"},
+                        {HeaderNames::Outcome, outcomeName(refusal.outcome)},
+                        {HeaderNames::RetryAfter, std::to_string(wait)},
+                        {HeaderNames::Retried, "1"}};
+    if (m_plan->snapshot) {
+        response.headers.push_back({HeaderNames::Revision, revisionText()});
+    }
+    const nlohmann::ordered_json body{{"reason", reasonName(refusal.reason)}, {"remedy", reasonRemedy(refusal.reason)}};
+    response.text = body.dump() + "\n";
+    response.bodyLength = response.text.size();
+    return response;
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/node/entrysession.h
@@ -0,0 +1,52 @@
+// One caller's request at its entry node, from its head to the head of its answer.
+//
+// Bodies of up to 256 KiB are kept for retries; a longer one is streamed to one attempt, which is then the only one.
+#pragma once
+
+#include "node/answercollector.h"
+
+namespace Fescuenotch {
+
+/// Why a request is answered by this node and not by a target.
+struct Refusal {
+    Outcome outcome = Outcome::NotRun;
+    Reason reason = Reason::None;
+    milliseconds retryAfter{1'000}; ///< ms
+};
+
+class EntrySession final : public CallerSession
+{
+public:
+    EntrySession(std::shared_ptr<EntryCore> core, const CallerRequest &request);
+    bool onBody(Bytes piece) override;
+    CallerResponse respond(const std::function<bool()> &callerLeft) override;
+
+private:
+    void makePlan(const CallerRequest &request);
+    bool readLimits(const CallerRequest &request);
+    bool refuse(Reason reason, Outcome outcome = Outcome::NotRun);
+    bool waitForTrust() const;
+    bool openAttempt(std::optional<std::uint64_t> bodyLength);
+    bool startStreaming();
+    CallerResponse runAttempts(const std::function<bool()> &callerLeft);
+    CollectedAnswer runAttempt(const std::function<bool()> &callerLeft);
+    /// Waits before a retry. False when the caller left.
+    bool pause(Duration delay, const std::function<bool()> &callerLeft) const;
+    CallerResponse answer(CollectedAnswer collected);
+    CallerResponse refusalAnswer(const Refusal &refusal);
+    std::string revisionText() const;
+
+    InFlightGuard m_guard;
+    std::shared_ptr<EntryCore> m_core;
+    std::shared_ptr<RequestPlan> m_plan;
+    std::optional<Refusal> m_refusal;
+    std::optional<std::uint64_t> m_announcedLength; ///< bytes; by the caller
+    std::string m_body; ///< while it may still be kept
+    std::unique_ptr<TrackedAttempt> m_attempt;
+    bool m_streaming = false;
+    bool m_streamOpen = true; ///< the attempt still takes body
+    RetryState m_state;
+    std::vector<std::string> m_tried; ///< hosts
+};
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/node/exitcore.cpp
@@ -0,0 +1,278 @@
+#include "node/exitcore.h"
+
+#include "node/exitexchange.h"
+
+#include <algorithm>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr std::size_t FirstWorkers = 32; ///< threads started ahead of the first request
+constexpr seconds DrainingMemory{30}; ///< how long a target's "draining" holds without being said again
+
+unsigned usableSlots(const TargetEntry &target)
+{
+    return std::max(1U, std::min(target.slots, target.connections));
+}
+
+} // namespace
+
+ExitCore::ExitCore(const ExitParts &parts)
+    : m_parts(parts)
+    , m_metrics(*parts.metrics)
+{
+}
+
+Reason ExitCore::obstacleTo(const AttemptHead &head)
+{
+    const auto now = Clock::now();
+    if (leaving) {
+        return Reason::Leaving;
+    }
+    if (head.targetHost != m_parts.settings->host) {
+        return Reason::WrongHost;
+    }
+    if (now >= head.deadline) {
+        return Reason::DeadlinePassed;
+    }
+    if (head.idempotent) {
+        return Reason::None;
+    }
+    switch (m_seen.admit(now, head.id, head.deadline)) {
+    case AttemptRegister::Verdict::Seen:
+        return Reason::Cancelled;
+    case AttemptRegister::Verdict::Full:
+        return Reason::QueueFull;
+    case AttemptRegister::Verdict::New:
+        break;
+    }
+    return Reason::None;
+}
+
+void ExitCore::offer(std::shared_ptr<InboundAttempt> attempt)
+{
+    ++inFlight;
+    const auto &head = attempt->head();
+    const auto obstacle = obstacleTo(head);
+    AdmissionResult result{AdmissionResult::Verdict::Refuse, obstacle, milliseconds(0)};
+    TicketId ticket = 0;
+    if (obstacle == Reason::None) {
+        const std::lock_guard lock(m_mutex);
+        result.reason = m_stopping ? Reason::Leaving : Reason::NoTarget;
+        if (m_admission && !m_stopping) {
+            ticket = m_nextTicket++;
+            result = m_admission->offer(Clock::now(), {ticket, head.requestClass, head.deadline});
+        }
+        if (result.verdict == AdmissionResult::Verdict::Start) {
+            makeReadyLocked({ticket, attempt});
+        } else if (result.verdict == AdmissionResult::Verdict::Wait) {
+            m_waiting.emplace(ticket, attempt);
+        }
+    }
+    if (result.verdict == AdmissionResult::Verdict::Refuse) {
+        endRefused({{attempt, result}});
+    } else if (result.verdict == AdmissionResult::Verdict::Wait) {
+        watchCancel(ticket, attempt);
+    }
+}
+
+void ExitCore::watchCancel(TicketId ticket, const AttemptPtr &attempt)
+{
+    attempt->onCancel([weak = weak_from_this(), ticket] {
+        if (const auto self = weak.lock()) {
+            self->withdraw(ticket);
+        }
+    });
+    if (attempt->cancelled()) {
+        withdraw(ticket);
+    }
+}
+
+void ExitCore::withdraw(TicketId ticket)
+{
+    Refused refused;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_waiting.find(ticket);
+        if (it == m_waiting.end()) {
+            return;
+        }
+        refused.emplace_back(it->second, AdmissionResult{AdmissionResult::Verdict::Refuse, Reason::Cancelled, milliseconds(0)});
+        m_waiting.erase(it);
+        const auto others = applyLocked(m_admission->withdraw(Clock::now(), ticket));
+        refused.insert(refused.end(), others.begin(), others.end());
+    }
+    endRefused(refused);
+}
+
+void ExitCore::configure(const TargetEntry &target)
+{
+    Refused refused;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = Clock::now();
+        const bool isNewTarget = !m_admission || m_target.address != target.address;
+        m_target = target;
+        if (!m_admission) {
+            AdmissionSettings settings;
+            settings.slots = usableSlots(target);
+            m_admission = makeAdmission(settings);
+        }
+        if (isNewTarget) {
+            m_admission->onCold(now);
+            m_drainingUntil = {};
+        }
+        refused = applyLocked(m_admission->resize(now, usableSlots(target)));
+        const auto first = std::min<std::size_t>(FirstWorkers, usableSlots(target));
+        while (m_workers.size() < first) {
+            m_workers.emplace_back([this] { work(); });
+        }
+    }
+    endRefused(refused);
+}
+
+void ExitCore::tick(TimePoint now)
+{
+    Refused refused;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_admission) {
+            return;
+        }
+        refused = applyLocked(m_admission->onTick(now));
+    }
+    endRefused(refused);
+}
+
+ExitCore::Refused ExitCore::applyLocked(const AdmissionChanges &changes)
+{
+    Refused refused;
+    const auto take = [&](TicketId ticket) {
+        auto node = m_waiting.extract(ticket);
+        return node.empty() ? AttemptPtr() : std::move(node.mapped());
+    };
+    for (const auto ticket : changes.started) {
+        makeReadyLocked({ticket, take(ticket)});
+    }
+    for (const auto &[ticket, result] : changes.refused) {
+        refused.emplace_back(take(ticket), result);
+    }
+    return refused;
+}
+
+void ExitCore::makeReadyLocked(Job job)
+{
+    m_ready.push_back(std::move(job));
+    if (m_idle < m_ready.size() && m_workers.size() < usableSlots(m_target)) {
+        m_workers.emplace_back([this] { work(); });
+    }
+    m_readyChanged.notify_one();
+}
+
+void ExitCore::endRefused(const Refused &refused)
+{
+    for (const auto &[attempt, result] : refused) {
+        AttemptEnd refusal;
+        refusal.outcome = Outcome::NotRun;
+        refusal.reason = result.reason;
+        refusal.retryAfter = result.retryAfter;
+        refusal.load = load();
+        end(*attempt, refusal);
+    }
+}
+
+void ExitCore::end(InboundAttempt &attempt, AttemptEnd end)
+{
+    m_metrics.onEnd(end.outcome, end.reason);
+    attempt.end(end);
+    --inFlight;
+}
+
+void ExitCore::work()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        ++m_idle;
+        m_readyChanged.wait(lock, [&] { return m_stopping || !m_ready.empty(); });
+        --m_idle;
+        if (m_ready.empty()) {
+            return;
+        }
+        const auto job = std::move(m_ready.front());
+        m_ready.pop_front();
+        lock.unlock();
+        run(job);
+        lock.lock();
+    }
+}
+
+void ExitCore::run(const Job &job)
+{
+    Endpoint address;
+    {
+        const std::lock_guard lock(m_mutex);
+        address = m_target.address;
+    }
+    ExitExchange exchange(*job.attempt, [this] { return load(); });
+    const auto started = Clock::now();
+    const auto result = m_parts.target->exchange(exchange.request(address), exchange);
+    const auto now = Clock::now();
+    auto conclusion = exchange.conclude(result);
+    const bool ran = conclusion.outcome == Outcome::Ran;
+    if (ran) {
+        m_metrics.onExchange(job.attempt->head().requestClass, now - started);
+    }
+    Refused refused;
+    {
+        const std::lock_guard lock(m_mutex);
+        noteTargetLocked(now, result, exchange.targetDrains());
+        refused = applyLocked(m_admission->finished(now, job.ticket, ran ? now - started : Duration(0), exchange.targetShed()));
+        conclusion.load = loadLocked(now);
+    }
+    end(*job.attempt, conclusion);
+    endRefused(refused);
+}
+
+void ExitCore::noteTargetLocked(TimePoint now, const TargetResult &result, bool drains)
+{
+    if (drains) {
+        m_drainingUntil = now + DrainingMemory;
+    }
+    if (result.reason == Reason::ConnectFailed) {
+        m_targetDown = true;
+    } else if (result.sent && m_targetDown) {
+        m_targetDown = false;
+        m_drainingUntil = {};
+        m_admission->onCold(now);
+    }
+}
+
+TargetLoad ExitCore::load() const
+{
+    const std::lock_guard lock(m_mutex);
+    return loadLocked(Clock::now());
+}
+
+TargetLoad ExitCore::loadLocked(TimePoint now) const
+{
+    auto load = m_admission ? m_admission->load() : TargetLoad();
+    load.leaving = leaving || now < m_drainingUntil;
+    return load;
+}
+
+void ExitCore::stop()
+{
+    std::vector<std::thread> workers;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+        workers.swap(m_workers);
+    }
+    m_readyChanged.notify_all();
+    for (auto &worker : workers) {
+        worker.join();
+    }
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/node/trackedattempt.cpp
@@ -0,0 +1,113 @@
+#include "node/trackedattempt.h"
+
+#include <algorithm>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr milliseconds CancelGrace{20}; ///< how long the exit node may take to confirm that it had not started
+constexpr std::size_t LargestPiece = 64 * 1024; ///< bytes
+
+AttemptResult resultOf(const AttemptEvent &event)
+{
+    if (event.kind == AttemptEvent::Kind::LinkLost) {
+        AttemptResult result;
+        result.outcome = event.anythingSent ? Outcome::Unknown : Outcome::NotRun;
+        result.reason = Reason::LinkLost;
+        return result;
+    }
+    const auto &end = event.end;
+    AttemptResult result{end.outcome, end.reason, false, end.retriedBelow, end.retryAfter, end.load};
+    if (result.outcome == Outcome::Ran && !end.complete) {
+        result.outcome = Outcome::Unknown;
+    }
+    if (result.outcome != Outcome::Ran && result.reason == Reason::None) {
+        result.reason = Reason::TargetBroke;
+    }
+    return result;
+}
+
+} // namespace
+
+TrackedAttempt::TrackedAttempt(std::shared_ptr<EntryCore> core,
+                               std::shared_ptr<const RequestPlan> plan,
+                               const ChosenTarget &chosen,
+                               std::optional<std::uint64_t> bodyLength,
+                               const Headers &headers)
+    : m_core(std::move(core))
+    , m_plan(std::move(plan))
+    , m_host(chosen.target.host)
+    , m_link(m_core->open(*m_plan, chosen, bodyLength, headers))
+{
+}
+
+TrackedAttempt::~TrackedAttempt()
+{
+    if (!m_finished) {
+        m_link->cancel();
+        AttemptResult result;
+        result.reason = Reason::Cancelled;
+        finish(result);
+    }
+}
+
+bool TrackedAttempt::sendBody(Bytes piece)
+{
+    while (!piece.empty()) {
+        const auto size = std::min(piece.size(), LargestPiece);
+        if (!m_link->sendBody(piece.first(size), m_plan->deadline)) {
+            return false;
+        }
+        piece = piece.subspan(size);
+    }
+    return true;
+}
+
+bool TrackedAttempt::finishBody()
+{
+    return m_link->finishBody();
+}
+
+AttemptEvent TrackedAttempt::wait(TimePoint until)
+{
+    return m_link->wait(until);
+}
+
+AttemptResult TrackedAttempt::cancel(Reason reason)
+{
+    m_link->cancel();
+    AttemptResult result;
+    result.reason = reason;
+    const auto until = Clock::now() + CancelGrace;
+    while (true) {
+        const auto event = m_link->wait(until);
+        if (event.kind == AttemptEvent::Kind::Head) {
+            m_core->metrics().lateAnswers.add();
+        } else if (event.kind == AttemptEvent::Kind::End || event.kind == AttemptEvent::Kind::LinkLost) {
+            const auto last = resultOf(event);
+            result.outcome = last.outcome == Outcome::NotRun ? Outcome::NotRun : Outcome::Unknown;
+            result.load = last.load;
+            break;
+        } else if (event.kind == AttemptEvent::Kind::Timeout) {
+            break;
+        }
+    }
+    return finish(result);
+}
+
+AttemptResult TrackedAttempt::finish(const AttemptResult &result)
+{
+    if (!m_finished) {
+        m_finished = true;
+        m_core->onAttemptEnd(*m_plan, m_host, result);
+    }
+    return result;
+}
+
+AttemptResult TrackedAttempt::finishBy(const AttemptEvent &event)
+{
+    return finish(resultOf(event));
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/request/chooser.cpp
@@ -0,0 +1,198 @@
+#include "request/decisions.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <random>
+#include <utility>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr Duration LongestEjection = seconds(60);
+constexpr unsigned MaxEjectionDoublings = 6;
+
+/// What is known of one target's host.
+struct HostState {
+    unsigned inFlight = 0; ///< attempts of this node
+    unsigned startedSinceLoad = 0; ///< attempts of this node that the load cannot know of yet
+    TargetLoad load; ///< as last told
+    TimePoint loadTime; ///< when it was told
+    bool loadKnown = false;
+    unsigned failuresInRow = 0;
+    unsigned ejections = 0; ///< in a row
+    TimePoint ejectedUntil;
+    bool leaving = false; ///< said by the fleet, not by the load
+};
+
+bool isFault(const AttemptResult &result)
+{
+    switch (result.reason) {
+    case Reason::ConnectFailed:
+    case Reason::LinkLost:
+    case Reason::TargetBroke:
+        return true;
+    case Reason::DeadlinePassed:
+        return result.outcome == Outcome::Unknown;
+    default:
+        return false;
+    }
+}
+
+class TwoChoicesChooser final : public TargetChooser
+{
+public:
+    explicit TwoChoicesChooser(const ChooserSettings &settings)
+        : m_settings(settings)
+        , m_random(settings.seed)
+    {
+    }
+
+    std::optional<TargetEntry> choose(TimePoint now, const std::string &, const Service &service, const std::vector<std::string> &tried) override
+    {
+        const auto takers = takersOf(now, service);
+        auto fresh = takers;
+        std::erase_if(fresh, [&](const TargetEntry *target) { return std::find(tried.begin(), tried.end(), target->host) != tried.end(); });
+        const auto *best = pick(now, fresh.empty() ? takers : fresh);
+        return best == nullptr ? std::nullopt : std::optional(*best);
+    }
+
+    void onStart(TimePoint, const std::string &host) override
+    {
+        auto &state = m_hosts[host];
+        ++state.inFlight;
+        ++state.startedSinceLoad;
+    }
+
+    void onEnd(TimePoint now, const std::string &host, const AttemptResult &result) override
+    {
+        auto &state = m_hosts[host];
+        state.inFlight -= std::min(state.inFlight, 1U);
+        if (result.load.slots != 0) {
+            onLoad(now, host, result.load);
+        }
+        if (isFault(result)) {
+            noteFault(now, state);
+        } else if (result.outcome == Outcome::Ran) {
+            state.failuresInRow = 0;
+            state.ejections = 0;
+        }
+    }
+
+    void onLoad(TimePoint now, const std::string &host, const TargetLoad &load) override
+    {
+        auto &state = m_hosts[host];
+        state.load = load;
+        state.startedSinceLoad = 0;
+        state.loadTime = now;
+        state.loadKnown = true;
+    }
+
+    void onLeaving(TimePoint, const std::string &host) override
+    {
+        m_hosts[host].leaving = true;
+    }
+
+    void onAlive(TimePoint, const std::string &host) override
+    {
+        const auto inFlight = m_hosts[host].inFlight;
+        m_hosts[host] = {};
+        m_hosts[host].inFlight = inFlight;
+    }
+
+private:
+    using Candidates = std::vector<const TargetEntry *>;
+
+    void noteFault(TimePoint now, HostState &state) const
+    {
+        if (++state.failuresInRow < m_settings.ejectAfter) {
+            return;
+        }
+        const auto doublings = std::min(state.ejections, MaxEjectionDoublings);
+        state.ejectedUntil = now + std::min<Duration>(m_settings.ejectFor * (1U << doublings), LongestEjection);
+        state.failuresInRow = 0;
+        ++state.ejections;
+    }
+
+    /// Targets that take work: neither leaving nor ejected. The floor puts those back whose ejection ends first.
+    Candidates takersOf(TimePoint now, const Service &service)
+    {
+        Candidates takers;
+        Candidates ejected;
+        for (const auto &target : service.targets) {
+            const auto &state = m_hosts[target.host];
+            if (!state.leaving && !state.load.leaving) {
+                (state.ejectedUntil > now ? ejected : takers).push_back(&target);
+            }
+        }
+        const auto total = static_cast<double>(takers.size() + ejected.size());
+        const auto least = static_cast<std::size_t>(std::ceil(total * m_settings.ejectFloor));
+        std::sort(ejected.begin(), ejected.end(), [&](const auto *a, const auto *b) { return m_hosts[a->host].ejectedUntil < m_hosts[b->host].ejectedUntil; });
+        for (std::size_t n = 0; n < ejected.size() && takers.size() < least; ++n) {
+            takers.push_back(ejected[n]);
+        }
+        return takers;
+    }
+
+    /// Own data centre with room, then any other with room, then the own, then any.
+    const TargetEntry *pick(TimePoint now, const Candidates &all)
+    {
+        const auto isOwn = [&](const TargetEntry *target) { return target->dataCentre == m_settings.dataCentre; };
+        const auto hasRoom = [&](const TargetEntry *target) { return loadShare(now, *target) < 1; };
+        Candidates own;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(own), isOwn);
+        Candidates ownRoom;
+        std::copy_if(own.begin(), own.end(), std::back_inserter(ownRoom), hasRoom);
+        Candidates room;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(room), hasRoom);
+        for (const Candidates *candidates : {&std::as_const(ownRoom), &std::as_const(room), &std::as_const(own), &all}) {
+            if (!candidates->empty()) {
+                return lessLoadedOfTwo(now, *candidates);
+            }
+        }
+        return nullptr;
+    }
+
+    const TargetEntry *lessLoadedOfTwo(TimePoint now, const Candidates &candidates)
+    {
+        if (candidates.size() == 1) {
+            return candidates.front();
+        }
+        std::uniform_int_distribution<std::size_t> pickFirst(0, candidates.size() - 1);
+        std::uniform_int_distribution<std::size_t> pickSecond(0, candidates.size() - 2);
+        const auto first = pickFirst(m_random);
+        auto second = pickSecond(m_random);
+        second += second >= first ? 1 : 0;
+        const auto *a = candidates[first];
+        const auto *b = candidates[second];
+        return loadShare(now, *b) < loadShare(now, *a) ? b : a;
+    }
+
+    /// Work per slot. What this node has in flight is the least, so that a load told too low cannot draw all work.
+    double loadShare(TimePoint now, const TargetEntry &target)
+    {
+        const auto &state = m_hosts[target.host];
+        const bool isFresh = state.loadKnown && now - state.loadTime <= m_settings.loadAge;
+        auto slots = target.slots;
+        unsigned told = 0;
+        if (isFresh) {
+            slots = state.load.slots == 0 ? slots : std::min(slots, state.load.slots);
+            told = state.load.inUse + state.load.queued + state.startedSinceLoad;
+        }
+        return static_cast<double>(std::max(told, state.inFlight)) / std::max(1U, slots);
+    }
+
+    ChooserSettings m_settings;
+    std::mt19937_64 m_random;
+    std::map<std::string, HostState> m_hosts;
+};
+
+} // namespace
+
+std::unique_ptr<TargetChooser> makeTargetChooser(const ChooserSettings &settings)
+{
+    return std::make_unique<TwoChoicesChooser>(settings);
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/tests/node/requestfakes.h
@@ -0,0 +1,116 @@
+// Fakes at the interfaces of the request handlers: a transport in memory and a scripted target.
+//
+// LoopTransport joins an entry handler to exit handlers by host. A test can make the next attempts fail (`failures`),
+// or hold the exit's side back to drive it by hand.
+#pragma once
+
+#include "node/entryhandler.h"
+#include "node/exithandler.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Fescuenotch::Testing {
+
+/// The two ends of one attempt in memory.
+class LoopStream : public InboundAttempt
+{
+public:
+    explicit LoopStream(AttemptHead head)
+        : m_head(std::move(head))
+    {
+    }
+
+    const AttemptHead &head() const override
+    {
+        return m_head;
+    }
+    std::ptrdiff_t readBody(std::span<char> buf, TimePoint until) override;
+    bool cancelled() const override
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_cancelled;
+    }
+    void onCancel(std::function<void()> callback) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_onCancel = std::move(callback);
+    }
+    bool sendHead(const AnswerHead &head) override;
+    bool sendBody(Bytes piece, TimePoint until) override;
+    void end(const AttemptEnd &end) override;
+
+    // The entry node's side.
+    AttemptEvent wait(TimePoint until);
+    void pushRequestBody(Bytes piece);
+    void finishRequestBody();
+    void cancel();
+    void lose(bool anythingSent); ///< the link breaks
+    std::optional<AttemptEnd> ended() const; ///< what the exit node said last
+    bool waitForEnd(Duration limit);
+
+private:
+    bool push(AttemptEvent event);
+
+    AttemptHead m_head;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<AttemptEvent> m_events;
+    std::string m_body;
+    bool m_bodyDone = false;
+    bool m_cancelled = false;
+    std::function<void()> m_onCancel;
+    std::optional<AttemptEnd> m_end;
+};
+
+class LoopTransport : public PeerTransport
+{
+public:
+    Result<void> start(PeerListener &) override
+    {
+        return {};
+    }
+    bool sendControl(const Endpoint &, const std::string &, std::string) override
+    {
+        return true;
+    }
+    std::unique_ptr<OutboundAttempt> open(const Endpoint &to, const AttemptHead &head) override;
+    void sayGoodbye() override
+    {
+    }
+    void stop() override
+    {
+    }
+
+    /// What answers the attempts that go to a peer's address.
+    std::map<std::string, std::function<void(std::shared_ptr<LoopStream>)>> exits;
+    std::vector<AttemptHead> heads() const; ///< of all attempts opened so far
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<AttemptHead> m_heads;
+};
+
+/// A target that runs a function for each request and counts what it started.
+class ScriptedTarget : public TargetClient
+{
+public:
+    TargetResult exchange(const TargetRequest &request, TargetSink &sink) override;
+
+    std::function<TargetResult(const TargetRequest &, TargetSink &)> script; ///< after mayStart; none: answers 200 with the path
+    std::atomic<unsigned> started{0};
+    std::atomic<unsigned> running{0};
+    std::atomic<unsigned> mostRunning{0};
+};
+
+/// Answers with a status and a body, whole.
+TargetResult answerWith(TargetSink &sink, unsigned status, Headers headers, const std::string &body);
+
+} // namespace Fescuenotch::Testing
