--- /dev/null
+++ b/src/node/spreaddriver.cpp
@@ -0,0 +1,529 @@
+// Sections: [platform threads] [driver] [actions] [snapshot]
+#include "node/spreaddriver.h"
+
+#include "kernel/logging.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <shared_mutex>
+#include <thread>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr Duration TickPeriod = milliseconds(50);
+constexpr Duration LateWakeThreshold = milliseconds(300); ///< a tick this late means that the process was paused
+constexpr Duration ViewMaxAge = milliseconds(500); ///< a view whose last tick is older is not trusted
+constexpr Duration MembersPeriod = seconds(1); ///< between copies of the member list for the request path
+
+// ---- [platform threads] -----------------------------------------------------------------------------------------
+
+/// A thread that asks the platform one question at a time.
+class AskingThread
+{
+public:
+    explicit AskingThread(std::function<void()> ask)
+        : m_ask(std::move(ask))
+        , m_thread([this] {
+            run();
+        })
+    {
+    }
+
+    ~AskingThread()
+    {
+        stop();
+    }
+
+    AskingThread(const AskingThread &) = delete;
+    AskingThread &operator=(const AskingThread &) = delete;
+
+    void wake()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_wanted = true;
+        m_changed.notify_all();
+    }
+
+    void stop()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_stopped = true;
+            m_changed.notify_all();
+        }
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+private:
+    void run()
+    {
+        std::unique_lock lock(m_mutex);
+        while (true) {
+            m_changed.wait(lock, [this] {
+                return m_stopped || m_wanted;
+            });
+            if (m_stopped) {
+                return;
+            }
+            m_wanted = false;
+            lock.unlock();
+            m_ask();
+            lock.lock();
+        }
+    }
+
+    std::function<void()> m_ask;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_wanted = false;
+    bool m_stopped = false;
+    std::thread m_thread; ///< last: it uses all of the above
+};
+
+SpreadWay toWay(const std::string &mode)
+{
+    if (mode == "baseline") {
+        return SpreadWay::Baseline;
+    }
+    if (mode == "gossip") {
+        return SpreadWay::Gossip;
+    }
+    return mode == "tree" ? SpreadWay::Tree : SpreadWay::TreeDigest;
+}
+
+SpreadSettings toSpreadSettings(const SpreadParts &parts)
+{
+    const auto &node = *parts.settings;
+    SpreadSettings settings;
+    settings.self = node.peerListen;
+    settings.incarnation = parts.incarnation;
+    settings.dataCentre = node.dataCentre;
+    settings.service = node.service;
+    settings.way = toWay(node.spreadMode);
+    settings.readers = node.readers;
+    settings.treeFanOut = node.treeFanOut;
+    settings.digestPeriod = node.digestPeriod;
+    settings.spreadTarget = node.spreadTarget;
+    settings.callsPerSecond = node.platformRate;
+    settings.callShare = node.platformShare;
+    settings.seed = std::random_device()();
+    return settings;
+}
+
+/// What the request path needs to know of a member.
+struct KnownPeer {
+    Endpoint peer;
+    std::uint64_t incarnation = 0;
+};
+
+struct SpreadCounters {
+    explicit SpreadCounters(MetricsRegistry &metrics)
+        : configCalls(metrics.counter("fescuenotch_platform_calls_total", "Calls to the platform.", {{"kind", "config"}}))
+        , hostCalls(metrics.counter("fescuenotch_platform_calls_total", "Calls to the platform.", {{"kind", "hosts"}}))
+        , configErrors(metrics.counter("fescuenotch_platform_errors_total", "Calls to the platform that failed.", {{"kind", "config"}}))
+        , hostErrors(metrics.counter("fescuenotch_platform_errors_total", "Calls to the platform that failed.", {{"kind", "hosts"}}))
+        , swaps(metrics.counter("fescuenotch_in_force_swaps_total", "Snapshots put in force."))
+        , olderRefused(metrics.counter("fescuenotch_older_snapshots_refused_total", "Snapshots refused because a newer one was in force before."))
+        , wakes(metrics.counter("fescuenotch_wakes_total", "Pauses of this process that were noticed."))
+    {
+    }
+
+    Counter &configCalls;
+    Counter &hostCalls;
+    Counter &configErrors;
+    Counter &hostErrors;
+    Counter &swaps;
+    Counter &olderRefused;
+    Counter &wakes;
+};
+
+// ---- [driver] ---------------------------------------------------------------------------------------------------
+
+class Driver final : public SpreadDriver
+{
+public:
+    explicit Driver(const SpreadParts &parts)
+        : m_parts(parts)
+        , m_counters(*parts.metrics)
+        , m_store(makeRecordStore())
+        , m_core(makeSpreadCore(toSpreadSettings(parts), *m_store))
+        , m_lastTick(Clock::now())
+    {
+        parts.metrics->gauge("fescuenotch_stale_pages", "Answers of the platform that were older than what this node holds.", {}, [this] {
+            const std::lock_guard lock(m_mutex);
+            return static_cast<double>(m_store->stalePages());
+        });
+    }
+
+    ~Driver() override
+    {
+        stop();
+    }
+
+    Driver(const Driver &) = delete;
+    Driver &operator=(const Driver &) = delete;
+
+    void start() override
+    {
+        m_configThread = std::make_unique<AskingThread>([this] {
+            askConfig();
+        });
+        m_hostThread = std::make_unique<AskingThread>([this] {
+            askHosts();
+        });
+        m_parts.timers->onLateWake(LateWakeThreshold, [this](TimePoint now, Duration lateness) {
+            onWake(now, lateness);
+        });
+        m_tick = m_parts.timers->every(TickPeriod, [this](TimePoint now) {
+            onTick(now);
+        });
+    }
+
+    void onControl(const std::string &bytes) override
+    {
+        event([&](TimePoint now) {
+            return m_core->onMessage(now, bytes);
+        });
+    }
+
+    void onPeerLost(const Endpoint &peer) override
+    {
+        event([&](TimePoint now) {
+            return m_core->onPeerLost(now, peer);
+        });
+    }
+
+    void onPeerLeaving(const Endpoint &peer) override
+    {
+        std::uint64_t incarnation = 0;
+        {
+            const std::shared_lock lock(m_peersMutex);
+            const auto it = m_peersByHost.find(peer.host);
+            incarnation = it == m_peersByHost.end() ? 0 : it->second.incarnation;
+        }
+        tellLeaving(peer.host, incarnation);
+    }
+
+    void leave() override
+    {
+        event([&](TimePoint now) {
+            return m_core->leave(now);
+        });
+    }
+
+    void stop() override
+    {
+        if (m_stopped.exchange(true)) {
+            return;
+        }
+        m_parts.timers->cancel(m_tick);
+        m_parts.platform->interrupt();
+        m_configThread.reset();
+        m_hostThread.reset();
+    }
+
+    bool viewTrusted() const override
+    {
+        return m_trusted && Clock::now() - m_lastTick.load() < ViewMaxAge;
+    }
+
+    std::optional<Endpoint> peerOf(const std::string &host) const override
+    {
+        const std::shared_lock lock(m_peersMutex);
+        const auto it = m_peersByHost.find(host);
+        return it == m_peersByHost.end() ? std::nullopt : std::optional(it->second.peer);
+    }
+
+    SpreadStatus status() const override
+    {
+        const auto now = Clock::now();
+        const std::lock_guard lock(m_mutex);
+        SpreadStatus status;
+        status.inForce = m_parts.inForce->current();
+        status.rejected = m_store->rejected();
+        status.report = m_core->report(now);
+        status.members = m_core->members();
+        status.highWater = m_store->highWater();
+        status.stalePages = m_store->stalePages();
+        status.reader = m_core->isReader(now);
+        status.viewTrusted = m_core->viewTrusted(now);
+        return status;
+    }
+
+private:
+    template<typename F>
+    void event(F &&decide)
+    {
+        const auto now = Clock::now();
+        SpreadActions actions;
+        {
+            const std::lock_guard lock(m_mutex);
+            actions = decide(now);
+            m_trusted = m_core->viewTrusted(now);
+        }
+        carryOut(std::move(actions));
+    }
+
+    void onTick(TimePoint now)
+    {
+        m_lastTick = now;
+        event([&](TimePoint at) {
+            return m_core->onTick(at);
+        });
+        if (now >= m_nextMembers) {
+            m_nextMembers = now + MembersPeriod;
+            refreshPeers();
+        }
+    }
+
+    void onWake(TimePoint now, Duration lateness)
+    {
+        m_counters.wakes.add();
+        logEvent(LogLevel::Warning, "process_was_paused").with("ms", std::chrono::duration_cast<milliseconds>(lateness).count());
+        m_trusted = false;
+        m_lastTick = now;
+        if (m_parts.onWake) {
+            m_parts.onWake(now);
+        }
+        event([&](TimePoint at) {
+            return m_core->onWake(at, lateness);
+        });
+    }
+
+    void askConfig()
+    {
+        std::uint64_t after = 0;
+        milliseconds wait{0};
+        {
+            const std::lock_guard lock(m_mutex);
+            after = m_watchAfter;
+            wait = m_watchWait;
+        }
+        m_counters.configCalls.add();
+        const auto answer = valueOrError([&] {
+            return m_parts.platform->watchConfig(after, wait);
+        });
+        if (const auto *error = std::get_if<Error>(&answer)) {
+            onPlatformError(*error, m_counters.configErrors);
+            return;
+        }
+        event([&](TimePoint now) {
+            return m_core->onConfigPage(now, std::get<0>(answer));
+        });
+    }
+
+    void askHosts()
+    {
+        m_counters.hostCalls.add();
+        const auto answer = valueOrError([&] {
+            return m_parts.platform->hosts();
+        });
+        if (const auto *error = std::get_if<Error>(&answer)) {
+            onPlatformError(*error, m_counters.hostErrors);
+            return;
+        }
+        event([&](TimePoint now) {
+            return m_core->onHostList(now, std::get<0>(answer));
+        });
+        refreshPeers();
+    }
+
+    void onPlatformError(const Error &error, Counter &counter)
+    {
+        if (m_stopped) {
+            return;
+        }
+        counter.add();
+        logEvent(LogLevel::Debug, "platform_call_failed").with(error);
+        event([&](TimePoint now) {
+            return m_core->onPlatformError(now, error);
+        });
+    }
+
+    // ---- [actions]
+    void carryOut(SpreadActions actions)
+    {
+        if (m_stopped) {
+            return;
+        }
+        for (auto &send : actions.sends) {
+            m_parts.peers->sendControl(send.to, send.kind, std::move(send.bytes));
+        }
+        if (actions.watchConfig) {
+            {
+                const std::lock_guard lock(m_mutex);
+                m_watchAfter = actions.watchAfter;
+                m_watchWait = actions.watchWait;
+            }
+            m_configThread->wake();
+        }
+        if (actions.readHosts) {
+            m_hostThread->wake();
+        }
+        for (const auto &host : actions.leavingHosts) {
+            tellLeaving(host, std::nullopt);
+        }
+        if (actions.recordsChanged) {
+            rebuild();
+        }
+    }
+
+    /// With an incarnation, only a later one brings the host back; without, the core's word does.
+    void tellLeaving(const std::string &host, std::optional<std::uint64_t> incarnation)
+    {
+        logEvent(LogLevel::Info, "host_takes_no_new_work").with("peer_host", host);
+        {
+            const std::unique_lock lock(m_peersMutex);
+            m_leaving[host] = incarnation;
+        }
+        if (m_parts.onLeaving) {
+            m_parts.onLeaving(host);
+        }
+    }
+
+    /// Copies what the request path needs, and finds hosts that are back.
+    void refreshPeers()
+    {
+        std::vector<MemberView> members;
+        {
+            const std::lock_guard lock(m_mutex);
+            members = m_core->members();
+        }
+        std::vector<std::string> back;
+        {
+            const std::unique_lock lock(m_peersMutex);
+            for (const auto &member : members) {
+                m_peersByHost[member.host] = {member.peer, member.incarnation};
+                if (isBackLocked(member)) {
+                    m_leaving.erase(member.host);
+                    back.push_back(member.host);
+                }
+            }
+            m_peersByHost[m_parts.settings->host] = {m_parts.settings->peerListen, m_parts.incarnation};
+        }
+        for (const auto &host : back) {
+            logEvent(LogLevel::Info, "host_is_back").with("peer_host", host);
+            if (m_parts.onAlive) {
+                m_parts.onAlive(host);
+            }
+        }
+    }
+
+    bool isBackLocked(const MemberView &member) const
+    {
+        const auto it = m_leaving.find(member.host);
+        if (it == m_leaving.end() || member.state != MemberState::Alive) {
+            return false;
+        }
+        return !it->second || member.incarnation > *it->second;
+    }
+
+    // ---- [snapshot]
+    void rebuild()
+    {
+        std::optional<Service> own;
+        std::optional<SnapshotPtr> swapped;
+        const std::lock_guard order(m_swapMutex);
+        {
+            const std::lock_guard lock(m_mutex);
+            own = m_store->service(m_parts.settings->service);
+            swapped = buildLocked();
+        }
+        if (own) {
+            tellTarget(*own);
+        }
+        if (swapped) {
+            putInForce(*swapped);
+        }
+    }
+
+    std::string followedProfileLocked() const
+    {
+        return m_parts.settings->profile.empty() ? m_store->profileOf(m_parts.settings->service) : m_parts.settings->profile;
+    }
+
+    /// The next snapshot when it differs from the one in force.
+    std::optional<SnapshotPtr> buildLocked()
+    {
+        const auto old = m_parts.inForce->current();
+        const auto profile = followedProfileLocked();
+        if (profile.empty()) {
+            return std::nullopt;
+        }
+        auto next = m_store->build(profile, old != nullptr && old->profileName == profile ? old : nullptr);
+        if (next == old || (next == nullptr && old != nullptr && old->profileName != profile)) {
+            return std::nullopt;
+        }
+        if (next != nullptr && next->version < m_newestInForce[profile]) {
+            m_counters.olderRefused.add();
+            return std::nullopt;
+        }
+        if (next != nullptr) {
+            m_newestInForce[profile] = next->version;
+        }
+        return next;
+    }
+
+    void putInForce(const SnapshotPtr &next)
+    {
+        m_parts.inForce->swap(next);
+        m_counters.swaps.add();
+        if (next == nullptr) {
+            logEvent(LogLevel::Info, "profile_withdrawn");
+            event([&](TimePoint now) {
+                return m_core->onInForce(now, "", Version{});
+            });
+            return;
+        }
+        logEvent(LogLevel::Info, "profile_in_force").with("profile", next->profileName).with("epoch", next->version.epoch).with("revision", next->version.revision);
+        event([&](TimePoint now) {
+            return m_core->onInForce(now, next->profileName, next->version);
+        });
+    }
+
+    void tellTarget(const Service &service)
+    {
+        const auto it = std::find_if(service.targets.begin(), service.targets.end(), [this](const TargetEntry &target) {
+            return target.host == m_parts.settings->host;
+        });
+        if (it != service.targets.end() && m_parts.onTarget) {
+            m_parts.onTarget(*it);
+        }
+    }
+
+    const SpreadParts m_parts;
+    SpreadCounters m_counters;
+    mutable std::mutex m_mutex; ///< guards the store, the core and the next question
+    std::unique_ptr<RecordStore> m_store;
+    std::unique_ptr<SpreadCore> m_core;
+    std::uint64_t m_watchAfter = 0;
+    milliseconds m_watchWait{0};
+    std::map<std::string, Version> m_newestInForce;
+    std::recursive_mutex m_swapMutex; ///< orders swaps; taken before m_mutex
+    mutable std::shared_mutex m_peersMutex; ///< guards the two below
+    std::map<std::string, KnownPeer> m_peersByHost;
+    std::map<std::string, std::optional<std::uint64_t>> m_leaving; ///< with the incarnation that said goodbye
+    std::atomic<bool> m_trusted{false};
+    std::atomic<bool> m_stopped{false};
+    std::atomic<TimePoint> m_lastTick;
+    TimePoint m_nextMembers; ///< timer thread only
+    TimerId m_tick = 0;
+    std::unique_ptr<AskingThread> m_configThread;
+    std::unique_ptr<AskingThread> m_hostThread;
+};
+
+} // namespace
+
+std::unique_ptr<SpreadDriver> makeSpreadDriver(const SpreadParts &parts)
+{
+    return std::make_unique<Driver>(parts);
+}
+
+} // namespace Fescuenotch
