Spread core: members, readers, tree pushes, digests, trust in the view

Decisions without sockets, threads or clock. Control messages are typed aggregates with a FlatBuffers codec that verifies every buffer and caps every list. Readers by rendezvous rank watch the platform under a call budget; records go down a tree rooted at the reader and are repaired by bucketed comparisons. Two tests over cores joined in memory pass: a herd of four becomes ready, and a change reaches twelve nodes.

--- /dev/null
+++ b/src/spread/platformquestions.h
@@ -0,0 +1,58 @@
+// When this node asks the platform, and for what: one question at a time, the host list before the configuration.
+//
+// How to use: `next` on every tick; the answer or error of the question goes to one of the `on...` functions.
+// The cursor of the watch is what the platform itself said last, never a mark heard from peers: a record that peers
+// lack must not be skipped. A platform that went back, or came back with another epoch, is read from the start.
+#pragma once
+
+#include "config/documents.h"
+#include "spread/callbudget.h"
+
+#include <cstdint>
+
+namespace Fescuenotch {
+
+constexpr seconds HostsPeriod{10}; ///< s between two reads of the host list by a reader
+constexpr milliseconds WatchWait{5'000}; ///< ms that the platform may hold a watch
+constexpr seconds AnswerLimit{10}; ///< s beyond the wait after which a question counts as failed
+
+class PlatformQuestions
+{
+public:
+    enum class Kind { None, Hosts, Config };
+    struct Question {
+        Kind kind = Kind::None;
+        std::uint64_t after = 0; ///< revision, of Config
+        milliseconds wait{0}; ///< ms, of Config
+    };
+
+    PlatformQuestions(double callsPerSecond, double share, std::uint64_t seed);
+    /// `reader`: this node watches. `peers`: other members known; 0 makes any node read the host list.
+    Question next(TimePoint now, bool reader, std::size_t peers);
+    /// True when the whole store has been read.
+    bool onConfigPage(TimePoint now, const ConfigPage &page);
+    void onHostList(TimePoint now, std::size_t hosts);
+    void onError(TimePoint now, milliseconds retryAfter);
+    /// The fleet's size from other sources than the platform.
+    void setHosts(std::size_t hosts);
+    /// Time since the platform last answered; `since` before its first answer.
+    Duration platformAge(TimePoint now) const;
+    std::uint64_t refusals() const;
+
+private:
+    bool hostsDue(TimePoint now, bool reader, std::size_t peers) const;
+
+    CallBudget m_budget;
+    Kind m_out = Kind::None; ///< the question that waits for its answer
+    TimePoint m_askedAt{};
+    bool m_hostsRead = false;
+    TimePoint m_hostsAt{};
+    bool m_firstWatch = true; ///< the first question after a start or a fall back does not wait
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_cursor = 0; ///< revision
+    bool m_wholeRead = false;
+    TimePoint m_answeredAt{};
+    std::uint64_t m_refusals = 0;
+};
+
+} // namespace Fescuenotch
