--- a/src/config/documents.h
+++ b/src/config/documents.h
@@ -82,8 +82,8 @@
     std::uint64_t revision = 0; ///< of the platform's store
     bool complete = false; ///< the page is (part of) everything, not a difference
     bool more = false; ///< ask again after the last change's revision
-    std::optional<std::uint64_t> after; ///< revision that was asked after, set by whoever asked; none: not known
     std::vector<Record> changes;
+    std::optional<std::uint64_t> after = std::nullopt; ///< revision that was asked after, set by whoever asked; none: not known
 };
 
 enum class HostState { Live, Leaving };
--- a/tests/config/store_test.cpp
+++ b/tests/config/store_test.cpp
@@ -33,7 +33,7 @@
     }
     static ConfigPage page(std::uint64_t revision, std::vector<Record> changes, bool complete = true, bool more = false, std::uint64_t epoch = 1)
     {
-        return {epoch, revision, complete, more, std::nullopt, std::move(changes)};
+        return {epoch, revision, complete, more, std::move(changes)};
     }
     bool take(const Record &item)
     {
