--- a/src/plugins/platformhttp.cpp
+++ b/src/plugins/platformhttp.cpp
@@ -103,6 +103,7 @@
 public:
     explicit HttpPlatformReader(const NodeContext &context)
         : m_platform(context.settings->platform)
+        , m_bytes(context.metrics->counter("fescuenotch_platform_bytes_total", "Bytes of the platform's answers, without HTTP headers."))
     {
     }
 
@@ -110,6 +111,7 @@
     {
         const auto url = m_platform + "/v1/config?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait.count());
         BOOST_LEAF_AUTO(text, m_config.get(url, wait + AnswerLimit, m_stopped));
+        m_bytes.add(text.size());
         BOOST_LEAF_AUTO(page, parseConfigPage(text));
         page.after = after;
         return page;
@@ -118,6 +120,7 @@
     Result<HostList> hosts() override
     {
         BOOST_LEAF_AUTO(text, m_hosts.get(m_platform + "/v1/hosts", AnswerLimit, m_stopped));
+        m_bytes.add(text.size());
         return parseHostList(text);
     }
 
@@ -130,6 +133,7 @@
 
 private:
     std::string m_platform;
+    Counter &m_bytes;
     std::atomic<bool> m_stopped{false};
     PlatformCall m_config;
     PlatformCall m_hosts;
