Thin whole path in separate processes; a page's second value was unreadable

Cause: the writer of kept JSON text did not reset its separator, so every value after the first of a page started with a comma and was rejected. Ruled out: the store (a single document passed check) and the platform stand-in (its answer was read by hand).

--- a/src/config/strictjson.cpp
+++ b/src/config/strictjson.cpp
@@ -52,6 +52,7 @@
     }
     std::string take()
     {
+        m_first = true;
         return std::exchange(m_text, {});
     }
 
--- a/src/node/spreaddriver.cpp
+++ b/src/node/spreaddriver.cpp
@@ -307,13 +307,14 @@
             wait = m_watchWait;
         }
         m_counters.configCalls.add();
-        const auto answer = valueOrError([&] {
+        auto answer = valueOrError([&] {
             return m_parts.platform->watchConfig(after, wait);
         });
         if (const auto *error = std::get_if<Error>(&answer)) {
             onPlatformError(*error, m_counters.configErrors);
             return;
         }
+        std::get<0>(answer).after = after;
         event([&](TimePoint now) {
             return m_core->onConfigPage(now, std::get<0>(answer));
         });
--- a/tests/spread/fleet.cpp
+++ b/tests/spread/fleet.cpp
@@ -179,7 +179,7 @@
     if (revision <= node.watchAfter && m_now < node.watchUntil) {
         return;
     }
-    ConfigPage page{1, revision, node.watchAfter == 0, false, {}};
+    ConfigPage page{1, revision, node.watchAfter == 0, false, {}, {}};
     for (const auto &it : m_published) {
         if (it.version.revision > node.watchAfter && it.version.revision <= revision) {
             page.changes.push_back(it);
