--- a/tests/config/platformpages_test.cpp
+++ b/tests/config/platformpages_test.cpp
@@ -12,9 +12,7 @@
                              R"({"key":"service/a","revision":1,"value":{"profile":"p","targets":[]}},)"
                              R"({"key":"service/b","revision":2,"value":{"profile":"p","targets":[]}},)"
                              R"({"key":"service/c","revision":3,"value":null}]})";
-    const auto page = valueOrError([&] {
-        return parseConfigPage(json);
-    });
+    const auto page = valueOrError([&] { return parseConfigPage(json); });
     BOOST_REQUIRE_EQUAL(page.index(), 0U);
     const auto &changes = std::get<0>(page).changes;
     BOOST_REQUIRE_EQUAL(changes.size(), 3U);
