--- a/tests/spread/fleet.cpp
+++ b/tests/spread/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include <boost/test/unit_test.hpp>
+
 #include <algorithm>
 
 namespace Fescuenotch {
@@ -309,4 +311,28 @@
     return m_now;
 }
 
+TwoCentres::TwoCentres(std::uint64_t seed, SpreadWay way)
+    : Fleet(seed, way)
+    , first(list(1, 6))
+    , second(list(2, 6))
+{
+    publish(Key, "v1");
+    startAll();
+    BOOST_REQUIRE(runUntil([this] { return allTrusted() && allHold(Key, Version{1, 1}); }, seconds(8)));
+    run(seconds(3));
+}
+
+TwoCentres::~TwoCentres()
+{
+    BOOST_TEST(faults.empty());
+}
+
+bool TwoCentres::reaches(Version version, const std::vector<std::string> &heldBy, Duration limit)
+{
+    const TimePoint begin = now();
+    const bool ok = runUntil([&] { return allHold(Key, version, heldBy); }, limit);
+    BOOST_TEST_MESSAGE("held after ms " << std::chrono::duration_cast<milliseconds>(now() - begin).count());
+    return ok;
+}
+
 } // namespace Fescuenotch
--- a/tests/spread/fleet.h
+++ b/tests/spread/fleet.h
@@ -107,4 +107,18 @@
     std::vector<Message> m_messages;
 };
 
+inline const std::string Key = "profile/desk";
+constexpr seconds Target{6}; ///< s; every reachable node is on the newest revision within this
+
+/// Two data centres of six nodes that hold the first revision.
+struct TwoCentres : Fleet {
+    explicit TwoCentres(std::uint64_t seed = 1, SpreadWay way = SpreadWay::TreeDigest);
+    ~TwoCentres();
+    /// True when `hosts`, or all that run, hold `version` of the key within `limit`.
+    bool reaches(Version version, const std::vector<std::string> &heldBy = {}, Duration limit = Target);
+
+    std::vector<std::string> first;
+    std::vector<std::string> second;
+};
+
 } // namespace Fescuenotch
--- a/tests/spread/spread_test.cpp
+++ b/tests/spread/spread_test.cpp
@@ -5,33 +5,6 @@
 
 using namespace Fescuenotch;
 
-namespace {
-
-const std::string Key = "profile/desk";
-constexpr seconds Target{6};
-
-struct TwoCentres : Fleet {
-    explicit TwoCentres(std::uint64_t seed = 1, SpreadWay way = SpreadWay::TreeDigest)
-        : Fleet(seed, way)
-        , first(list(1, 6))
-        , second(list(2, 6))
-    {
-        publish(Key, "v1");
-        startAll();
-        BOOST_REQUIRE(runUntil([this] { return allTrusted() && allHold(Key, Version{1, 1}); }, seconds(8)));
-        run(seconds(3));
-    }
-    ~TwoCentres()
-    {
-        BOOST_TEST(faults.empty());
-    }
-
-    std::vector<std::string> first;
-    std::vector<std::string> second;
-};
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(Spread)
 
 BOOST_AUTO_TEST_CASE(herd_start_trustedEverywhereWithinSeconds)
