--- a/src/spread/memberexchange.cpp
+++ b/src/spread/memberexchange.cpp
@@ -223,6 +223,7 @@
         m_probes.erase(host);
         const auto news = m_context.members.suspect(now, host);
         if (news) {
+            ++m_suspicions;
             noteNews(*news, {});
         }
     }
@@ -286,6 +287,11 @@
     return std::exchange(m_silent, {});
 }
 
+std::uint64_t MemberExchange::suspicions() const
+{
+    return m_suspicions;
+}
+
 // ---- suspicion
 
 void MemberExchange::checkSuspects(TimePoint now)
--- a/src/spread/memberexchange.h
+++ b/src/spread/memberexchange.h
@@ -44,6 +44,8 @@
     void announceSelf();
     /// Hosts whose probe went unanswered since the last call.
     std::vector<std::string> takeSilent();
+    /// Members that this node suspected by its own findings, so far.
+    std::uint64_t suspicions() const;
 
     void on(TimePoint now, const MemberEntry &sender, const MemberNewsBody &body);
     void on(const MemberEntry &sender, const MemberBucketsBody &body);
@@ -88,6 +90,7 @@
     std::map<std::string, TimePoint> m_told; ///< by host
     std::map<NewsTree, std::vector<MemberEntry>> m_news; ///< to pass on at the next tick
     std::vector<std::string> m_silent;
+    std::uint64_t m_suspicions = 0;
     TimePoint m_nextProbe{};
     TimePoint m_nextDeadProbe{};
     TimePoint m_lastCompare{};
--- a/src/spread/messages.h
+++ b/src/spread/messages.h
@@ -20,7 +20,7 @@
 constexpr std::size_t MaxKeysPerMessage = 512; ///< keys of a pull or of a version list
 constexpr std::size_t MaxMembersPerMessage = 64;
 constexpr std::size_t MaxNewsPerMessage = 4; ///< member entries that ride on any message
-constexpr std::size_t MaxSummaryLines = 32;
+constexpr std::size_t MaxSummaryLines = 16; ///< lines of one summary or beacon
 constexpr std::size_t MaxVersionCounts = 4; ///< distinct versions of one summary line
 constexpr std::size_t MaxTextBytes = 256; ///< a key or a name
 constexpr std::size_t MaxInlineValueBytes = 64 * 1024; ///< a larger value is announced and pulled in chunks
@@ -128,13 +128,16 @@
 struct VersionCount {
     Version version;
     std::uint32_t nodes = 0;
+    bool operator==(const VersionCount &) const = default;
 };
 struct SummaryLine {
     std::string profile;
     std::string dataCentre;
     std::vector<VersionCount> counts; ///< newest first
     std::uint32_t rejecting = 0; ///< nodes
-    milliseconds lag{0}; ///< ms
+    std::uint32_t silent = 0; ///< nodes; known by the first reader only
+    milliseconds lag{0}; ///< ms; known by the first reader only
+    bool operator==(const SummaryLine &) const = default;
 };
 
 /// A reader tells that it is at work, and up to which mark it has pushed.
--- a/src/spread/spreadcore.cpp
+++ b/src/spread/spreadcore.cpp
@@ -6,6 +6,7 @@
 #include "spread/readers.h"
 #include "spread/recordexchange.h"
 #include "spread/spreadcontext.h"
+#include "spread/spreadreport.h"
 #include "spread/tree.h"
 #include "spread/viewtrust.h"
 #include "wire/controlcodec.h"
@@ -36,6 +37,7 @@
     bool isReader(TimePoint now) const override;
     std::vector<MemberView> members() const override;
     std::vector<SpreadLine> report(TimePoint now) const override;
+    SpreadCounts counts() const override;
 
 private:
     SpreadActions take();
@@ -48,6 +50,7 @@
     void sendBeacons(TimePoint now);
     void sendBeacon(TimePoint now, bool relay, const std::vector<Endpoint> &to);
     void updateTrust(TimePoint now);
+    void sendSummary(TimePoint now);
     bool repairs() const;
 
     void handle(TimePoint now, const MemberEntry &sender, const DigestBody &body);
@@ -72,13 +75,14 @@
     Readers m_readers;
     PlatformQuestions m_questions;
     ViewTrust m_trust;
+    SpreadReport m_report;
     SpreadActions m_actions; ///< of the event at hand
     TimePoint m_lastTick{};
     TimePoint m_lastBeacon{};
     std::uint64_t m_beaconSequence = 0;
     bool m_beaconDue = false; ///< a push went out since the last beacon
     bool m_met = false; ///< peers are known and have been told of this node
-    std::uint64_t m_badMessages = 0;
+    SpreadCounts m_counts;
 };
 
 // ---- construction
@@ -89,6 +93,7 @@
     , m_records(m_context)
     , m_readers(settings.readers, m_context.members.self())
     , m_questions(settings.callsPerSecond, settings.callShare, m_context.random())
+    , m_report(m_context)
 {
 }
 
@@ -129,6 +134,7 @@
         for (const auto &it : m_records.overdueMarks(now)) {
             sendDigest(it, 0, false);
         }
+        sendSummary(now);
         sendBeacons(now);
         askPeers(now);
     }
@@ -141,10 +147,12 @@
     const auto decoded = valueOrError([&] { return decodeControl(bytes); });
     const auto *message = std::get_if<ControlMessage>(&decoded);
     if (message == nullptr || message->sender.host == m_context.settings.self.host) {
-        ++m_badMessages;
+        ++m_counts.badMessages;
         return take();
     }
-    if (m_members.onHeard(now, message->sender, message->news)) {
+    if (!m_members.onHeard(now, message->sender, message->news)) {
+        ++m_counts.staleSenders;
+    } else {
         std::visit([&](const auto &body) { handle(now, message->sender, body); }, message->body);
         for (const auto &it : m_records.takeRepairHints()) {
             sendDigest(it, 0, false);
@@ -198,8 +206,9 @@
     return take();
 }
 
-SpreadActions SpreadCoreImpl::onInForce(TimePoint, const std::string &, Version)
+SpreadActions SpreadCoreImpl::onInForce(TimePoint, const std::string &profile, Version version)
 {
+    m_report.setInForce(profile, version);
     return take();
 }
 
@@ -213,6 +222,7 @@
 
 void SpreadCoreImpl::wake(TimePoint now)
 {
+    ++m_counts.wakes;
     m_members.onWake(now);
     m_readers.restart(now);
     m_trust.beginWake(now);
@@ -231,6 +241,7 @@
     const Version highest = std::max(body.highWater, body.highestHeard);
     m_trust.onMarks(sender.host, highest, body.trusted, equal);
     if (!equal && repairs()) {
+        ++m_counts.repairs;
         m_records.compare(now, peer);
     }
     m_members.onMembersHash(now, sender, body.membersHash);
@@ -305,6 +316,7 @@
 {
     const Duration grace = isReader(now) ? MarkGraceReader : MarkGraceTree;
     m_records.onMark(now, {sender.host, sender.port}, body.highWater, grace);
+    m_report.onTotals(now, body.summary);
     if (!m_readers.onBeacon(now, body) || !body.relay) {
         return;
     }
@@ -316,8 +328,9 @@
     m_context.outbox.sendAll(to, body);
 }
 
-void SpreadCoreImpl::handle(TimePoint, const MemberEntry &, const SummaryBody &)
+void SpreadCoreImpl::handle(TimePoint now, const MemberEntry &sender, const SummaryBody &body)
 {
+    m_report.onSummary(now, sender.host, body.lines);
 }
 
 // ---- questions to peers and the platform
@@ -377,10 +390,27 @@
 
 // ---- beacons
 
+/// Up the tree of the first rank; the first rank itself adds up the data centre.
+void SpreadCoreImpl::sendSummary(TimePoint now)
+{
+    const auto &settings = m_context.settings;
+    const auto *parent = treeParent(m_context.ownRanked(), settings.self.host, settings.treeFanOut);
+    if (parent == nullptr) {
+        m_report.addUp(now);
+        return;
+    }
+    const auto lines = m_report.dueLines(now);
+    if (!lines.empty()) {
+        m_context.outbox.send(parent->peer, SummaryBody{lines});
+    }
+}
+
 void SpreadCoreImpl::sendBeacon(TimePoint now, bool relay, const std::vector<Endpoint> &to)
 {
+    const bool firstRank = m_readers.rank(m_context.ownRanked()) == 0;
+    const auto summary = firstRank ? m_report.totals(relay) : std::vector<SummaryLine>();
     const auto age = std::chrono::duration_cast<milliseconds>(m_questions.platformAge(now));
-    m_context.outbox.sendAll(to, BeaconBody{m_context.members.self(), m_beaconSequence, age, m_records.pushedMark(), relay, {}});
+    m_context.outbox.sendAll(to, BeaconBody{m_context.members.self(), m_beaconSequence, age, m_records.pushedMark(), relay, summary});
 }
 
 void SpreadCoreImpl::sendBeacons(TimePoint now)
@@ -431,9 +461,19 @@
     return views;
 }
 
-std::vector<SpreadLine> SpreadCoreImpl::report(TimePoint) const
+std::vector<SpreadLine> SpreadCoreImpl::report(TimePoint now) const
+{
+    return m_report.lines(now);
+}
+
+SpreadCounts SpreadCoreImpl::counts() const
 {
-    return {};
+    SpreadCounts counts = m_counts;
+    counts.platformRefusals = m_questions.refusals();
+    counts.stalePages = m_context.store.stalePages();
+    counts.suspicions = m_members.suspicions();
+    counts.refutations = m_context.members.self().refutation;
+    return counts;
 }
 
 } // namespace
--- a/src/spread/spreadcore.h
+++ b/src/spread/spreadcore.h
@@ -83,6 +83,18 @@
     milliseconds lag{0}; ///< ms; how long the newest has taken so far, or took
 };
 
+/// What the core refused or met, for counters; each only grows.
+struct SpreadCounts {
+    std::uint64_t badMessages = 0; ///< control messages that did not decode
+    std::uint64_t staleSenders = 0; ///< messages of a process that has been replaced at its address
+    std::uint64_t platformRefusals = 0; ///< errors of the platform, 429 and 503 included
+    std::uint64_t stalePages = 0; ///< pages of the platform older than what is held
+    std::uint64_t wakes = 0; ///< pauses of this process
+    std::uint64_t suspicions = 0; ///< members that this node suspected itself
+    std::uint64_t refutations = 0; ///< times that others held this node to be gone
+    std::uint64_t repairs = 0; ///< comparisons with a peer whose records differed
+};
+
 class SpreadCore
 {
 public:
@@ -101,6 +113,10 @@
     virtual bool isReader(TimePoint now) const = 0;
     virtual std::vector<MemberView> members() const = 0;
     virtual std::vector<SpreadLine> report(TimePoint now) const = 0;
+    virtual SpreadCounts counts() const
+    {
+        return {};
+    }
 };
 
 /// `store` is shared with the owner and guarded by the owner's lock, as is the core itself.
--- a/src/wire/control_generated.h
+++ b/src/wire/control_generated.h
@@ -669,7 +669,8 @@
     VT_DATA_CENTRE = 6,
     VT_COUNTS = 8,
     VT_REJECTING = 10,
-    VT_LAG_MS = 12
+    VT_SILENT = 12,
+    VT_LAG_MS = 14
   };
   const flatbuffers::String *profile() const {
     return GetPointer<const flatbuffers::String *>(VT_PROFILE);
@@ -683,6 +684,9 @@
   uint32_t rejecting() const {
     return GetField<uint32_t>(VT_REJECTING, 0);
   }
+  uint32_t silent() const {
+    return GetField<uint32_t>(VT_SILENT, 0);
+  }
   uint64_t lag_ms() const {
     return GetField<uint64_t>(VT_LAG_MS, 0);
   }
@@ -696,6 +700,7 @@
            verifier.VerifyVector(counts()) &&
            verifier.VerifyVectorOfTables(counts()) &&
            VerifyField<uint32_t>(verifier, VT_REJECTING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SILENT, 4) &&
            VerifyField<uint64_t>(verifier, VT_LAG_MS, 8) &&
            verifier.EndTable();
   }
@@ -717,6 +722,9 @@
   void add_rejecting(uint32_t rejecting) {
     fbb_.AddElement<uint32_t>(SummaryLine::VT_REJECTING, rejecting, 0);
   }
+  void add_silent(uint32_t silent) {
+    fbb_.AddElement<uint32_t>(SummaryLine::VT_SILENT, silent, 0);
+  }
   void add_lag_ms(uint64_t lag_ms) {
     fbb_.AddElement<uint64_t>(SummaryLine::VT_LAG_MS, lag_ms, 0);
   }
@@ -739,9 +747,11 @@
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::VersionCount>>> counts = 0,
     uint32_t rejecting = 0,
+    uint32_t silent = 0,
     uint64_t lag_ms = 0) {
   SummaryLineBuilder builder_(_fbb);
   builder_.add_lag_ms(lag_ms);
+  builder_.add_silent(silent);
   builder_.add_rejecting(rejecting);
   builder_.add_counts(counts);
   builder_.add_data_centre(data_centre);
@@ -755,6 +765,7 @@
     const char *data_centre = nullptr,
     const std::vector<flatbuffers::Offset<Fescuenotch::ControlWire::VersionCount>> *counts = nullptr,
     uint32_t rejecting = 0,
+    uint32_t silent = 0,
     uint64_t lag_ms = 0) {
   auto profile__ = profile ? _fbb.CreateString(profile) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
@@ -765,6 +776,7 @@
       data_centre__,
       counts__,
       rejecting,
+      silent,
       lag_ms);
 }
 
--- a/src/wire/controlcodec.cpp
+++ b/src/wire/controlcodec.cpp
@@ -75,7 +75,7 @@
     });
     const auto profile = b.CreateSharedString(line.profile);
     const auto dataCentre = b.CreateSharedString(line.dataCentre);
-    return Wire::CreateSummaryLine(b, profile, dataCentre, counts, line.rejecting, static_cast<std::uint64_t>(line.lag.count()));
+    return Wire::CreateSummaryLine(b, profile, dataCentre, counts, line.rejecting, line.silent, static_cast<std::uint64_t>(line.lag.count()));
 }
 
 template<typename Table, typename Items>
@@ -237,7 +237,7 @@
 
 SummaryLine get(const Wire::SummaryLine *line)
 {
-    SummaryLine out{text(line->profile()), text(line->data_centre()), {}, line->rejecting(), duration(line->lag_ms())};
+    SummaryLine out{text(line->profile()), text(line->data_centre()), {}, line->rejecting(), line->silent(), duration(line->lag_ms())};
     const std::size_t n = countOf(line->counts(), MaxVersionCounts);
     for (flatbuffers::uoffset_t i = 0; i < n; ++i) {
         const auto *count = line->counts()->Get(i);
