Spread core at fleet size: no reader before the fleet is known, one wave of news per death

Cause: a node that knew only who had spoken to it took itself for a reader of a fleet of two, and every node that heard of a suspicion told the death again. Now a node needs the host list, or a whole comparison with a member that has it; only who suspected a member itself tells its death.

--- a/src/spread/memberexchange.cpp
+++ b/src/spread/memberexchange.cpp
@@ -1,6 +1,7 @@
 // Sections: news, probes, suspicion, comparison of member lists.
 #include "spread/memberexchange.h"
 
+#include "spread/digest.h"
 #include "spread/tree.h"
 
 #include <algorithm>
@@ -32,6 +33,7 @@
 
 void MemberExchange::onHostList(TimePoint now, const HostList &list)
 {
+    m_fleetKnown = true;
     for (const auto &it : m_context.members.applyList(now, list)) {
         noteNews(it, ownTree());
     }
@@ -191,15 +193,45 @@
     }
     if (now >= m_nextDeadProbe) {
         m_nextDeadProbe = now + DeadProbePeriod;
-        for (const auto &it : m_context.sample(m_context.members.dead(), 1)) {
-            m_probe(peerOf(it));
-        }
+        probeDead(now);
     }
+    checkLostLinks(now);
     checkProbes(now);
     checkSuspects(now);
     sendNews();
 }
 
+/// Few members of the whole fleet look after each dead one, so that its return meets no storm.
+void MemberExchange::probeDead(TimePoint)
+{
+    const auto dead = m_context.members.dead();
+    const auto live = std::max<std::size_t>(m_context.members.size() - dead.size(), 1);
+    const double chance = static_cast<double>(dead.size() * DeadProbers) / static_cast<double>(live);
+    if (std::uniform_real_distribution<>(0, 1)(m_context.random) >= chance) {
+        return;
+    }
+    for (const auto &it : m_context.sample(dead, 1)) {
+        m_probe(peerOf(it));
+    }
+}
+
+void MemberExchange::checkLostLinks(TimePoint now)
+{
+    std::vector<std::string> hosts;
+    std::erase_if(m_lost, [&](const auto &it) {
+        const auto *member = m_context.members.find(it.first);
+        const bool lookAfter = member != nullptr && member->state == MemberState::Alive && now >= it.second;
+        if (lookAfter) {
+            hosts.push_back(it.first);
+        }
+        return now >= it.second;
+    });
+    for (const auto &host : hosts) {
+        m_probes[host] = Outstanding{now, Stage::ThroughOthers};
+        askHelpers(host);
+    }
+}
+
 void MemberExchange::checkProbes(TimePoint now)
 {
     std::vector<std::string> ask;
@@ -224,6 +256,7 @@
         const auto news = m_context.members.suspect(now, host);
         if (news) {
             ++m_suspicions;
+            m_suspected[host] = now + SuspicionLimit;
             noteNews(*news, {});
         }
     }
@@ -275,11 +308,8 @@
         return;
     }
     m_silent.push_back(peer.host);
-    const auto [it, fresh] = m_probes.try_emplace(peer.host, Outstanding{now, Stage::ThroughOthers});
-    if (fresh || it->second.stage == Stage::Direct) {
-        it->second = Outstanding{now, Stage::ThroughOthers};
-        askHelpers(peer.host);
-    }
+    std::uniform_int_distribution<int> delay(0, static_cast<int>(LostLinkSpread.count()));
+    m_lost.try_emplace(peer.host, now + milliseconds(delay(m_context.random)));
 }
 
 std::vector<std::string> MemberExchange::takeSilent()
@@ -294,20 +324,35 @@
 
 // ---- suspicion
 
+void MemberExchange::declareDead(TimePoint now, const std::string &host, const NewsTree &tree)
+{
+    const auto news = m_context.members.declareDead(now, host);
+    if (news) {
+        noteNews(*news, tree);
+    }
+}
+
+/// Who suspected a member by own findings probes it further and tells its death to all. Who only heard of it waits
+/// longer and tells nobody, so that one death makes one wave of news.
 void MemberExchange::checkSuspects(TimePoint now)
 {
-    for (const auto &host : m_context.members.suspectsSince(now - SuspicionLimit)) {
-        const auto news = m_context.members.declareDead(now, host);
-        if (news) {
-            noteNews(*news, ownTree());
+    const bool probes = now >= m_nextSuspectProbe;
+    for (const auto &[host, deadAt] : std::map(m_suspected)) {
+        const auto *member = m_context.members.find(host);
+        if (member == nullptr || member->state != MemberState::Suspect) {
+            m_suspected.erase(host);
+        } else if (now >= deadAt) {
+            m_suspected.erase(host);
+            declareDead(now, host, ownTree());
+        } else if (probes) {
+            m_probe(peerOf(*member));
         }
     }
-    if (now < m_nextSuspectProbe) {
-        return;
+    if (probes) {
+        m_nextSuspectProbe = now + ProbeLimit;
     }
-    m_nextSuspectProbe = now + ProbeLimit;
-    for (const auto &host : m_context.members.suspectsSince(now)) {
-        m_probe(*m_context.members.peerOf(host));
+    for (const auto &host : m_context.members.suspectsSince(now - HearsaySuspicionLimit)) {
+        declareDead(now, host, {});
     }
 }
 
@@ -316,41 +361,48 @@
 {
     m_probes.clear();
     m_helping.clear();
+    m_lost.clear();
+    m_suspected.clear();
     m_context.members.restartSuspicions(now);
 }
 
 // ---- comparison of member lists
 
-void MemberExchange::onMembersHash(TimePoint now, const MemberEntry &sender, std::uint64_t hash)
+bool MemberExchange::fleetKnown() const
 {
-    if (hash == m_context.members.hash() || now - m_lastCompare < MemberComparePause) {
+    return m_fleetKnown;
+}
+
+void MemberExchange::onDigest(TimePoint now, const MemberEntry &sender, const DigestBody &digest)
+{
+    if (digest.membersHash == m_context.members.hash()) {
+        m_fleetKnown = m_fleetKnown || digest.membersKnown;
+        return;
+    }
+    // A node that does not know the fleet yet compares with anyone who does; else who asked compares.
+    const bool due = digest.answer || (!m_fleetKnown && digest.membersKnown);
+    if (!due || now - m_comparison.at < MemberComparePause) {
         return;
     }
-    m_lastCompare = now;
+    m_comparison = Comparison{sender.host, now, 0, digest.membersKnown};
     m_context.outbox.send(peerOf(sender), MemberBucketsBody{m_context.members.bucketHashes()});
 }
 
 void MemberExchange::on(const MemberEntry &sender, const MemberBucketsBody &body)
 {
-    const auto own = m_context.members.bucketHashes();
-    MemberSetBody set;
-    std::size_t sent = 0;
-    for (std::size_t i = 0; i < BucketCount && sent < MaxSetsPerAnswer; ++i) {
-        if (i < body.hashes.size() && body.hashes[i] == own[i]) {
-            continue;
-        }
-        auto members = m_context.members.bucket(static_cast<std::uint8_t>(i));
+    const auto buckets = differing(m_context.members.bucketHashes(), body.hashes);
+    const auto total = static_cast<std::uint32_t>(buckets.size());
+    MemberSetBody set{{}, total, {}, false};
+    for (const auto bucket : buckets) {
+        auto members = m_context.members.bucket(bucket);
         members.resize(std::min(members.size(), MaxMembersPerMessage));
         if (set.members.size() + members.size() > MaxMembersPerMessage) {
-            m_context.outbox.send(peerOf(sender), std::exchange(set, {}));
-            ++sent;
+            m_context.outbox.send(peerOf(sender), std::exchange(set, MemberSetBody{{}, total, {}, false}));
         }
-        set.buckets.push_back(static_cast<std::uint8_t>(i));
+        set.buckets.push_back(bucket);
         set.members.insert(set.members.end(), members.begin(), members.end());
     }
-    if (!set.buckets.empty() && sent < MaxSetsPerAnswer) {
-        m_context.outbox.send(peerOf(sender), set);
-    }
+    m_context.outbox.send(peerOf(sender), set);
 }
 
 void MemberExchange::on(TimePoint now, const MemberEntry &sender, const MemberSetBody &body)
@@ -363,7 +415,11 @@
     if (body.answer) {
         return;
     }
-    MemberSetBody answer{body.buckets, {}, true};
+    if (sender.host == m_comparison.host) {
+        m_comparison.buckets += body.buckets.size();
+        m_fleetKnown = m_fleetKnown || (m_comparison.peerKnows && m_comparison.buckets >= body.total);
+    }
+    MemberSetBody answer{body.buckets, body.total, {}, true};
     for (const auto bucket : body.buckets) {
         for (const auto &it : m_context.members.bucket(bucket)) {
             const auto held = theirs.find(it.host);
--- a/src/spread/memberexchange.h
+++ b/src/spread/memberexchange.h
@@ -17,11 +17,13 @@
 
 constexpr milliseconds ProbeLimit{500}; ///< ms for an answer, and as long again for an answer through others
 constexpr milliseconds SuspicionLimit{2'000}; ///< ms for a suspect to refute
+constexpr milliseconds HearsaySuspicionLimit{6'000}; ///< ms; the same for one that others suspect, should their news be lost
 constexpr std::size_t ProbeHelpers = 3; ///< members asked to probe a silent one
 constexpr milliseconds MemberComparePause{500}; ///< ms between two comparisons of member lists
 constexpr milliseconds TellPause{200}; ///< ms between two notes to a member that others think it is gone
-constexpr std::size_t MaxSetsPerAnswer = 16; ///< messages of one comparison; the next one brings the rest
 constexpr milliseconds DeadProbePeriod{1'000}; ///< ms between probes of dead members, to find a healed partition
+constexpr std::size_t DeadProbers = 4; ///< members of the whole fleet that probe one dead member in that period
+constexpr milliseconds LostLinkSpread{500}; ///< ms over which the members that lost a link to the same host look after it
 
 class MemberExchange
 {
@@ -38,8 +40,10 @@
     /// `reader` also probes other data centres.
     void onTick(TimePoint now, bool reader);
     void probe(TimePoint now, const MemberEntry &member);
-    /// Compares member lists when `hash` differs from the own.
-    void onMembersHash(TimePoint now, const MemberEntry &sender, std::uint64_t hash);
+    /// Compares member lists when the sender's differs from the own.
+    void onDigest(TimePoint now, const MemberEntry &sender, const DigestBody &digest);
+    /// This node knows the whole fleet: from the host list, or from a member that knows it.
+    bool fleetKnown() const;
     /// Tells the fleet about this node: it is new, it refutes, or it leaves.
     void announceSelf();
     /// Hosts whose probe went unanswered since the last call.
@@ -59,6 +63,12 @@
         TimePoint sentAt;
         Stage stage = Stage::Direct;
     };
+    struct Comparison {
+        std::string host; ///< compared with
+        TimePoint at{};
+        std::size_t buckets = 0; ///< received so far
+        bool peerKnows = false; ///< it knows the whole fleet
+    };
     struct Helping {
         Endpoint asker;
         TimePoint until;
@@ -81,6 +91,9 @@
     void checkProbes(TimePoint now);
     void askHelpers(const std::string &host);
     void checkSuspects(TimePoint now);
+    void declareDead(TimePoint now, const std::string &host, const NewsTree &tree);
+    void checkLostLinks(TimePoint now);
+    void probeDead(TimePoint now);
     void tellIfThoughtGone(TimePoint now, const MemberEntry &sender);
 
     SpreadContext &m_context;
@@ -93,7 +106,10 @@
     std::uint64_t m_suspicions = 0;
     TimePoint m_nextProbe{};
     TimePoint m_nextDeadProbe{};
-    TimePoint m_lastCompare{};
+    Comparison m_comparison; ///< the last one
+    bool m_fleetKnown = false;
+    std::map<std::string, TimePoint> m_lost; ///< hosts whose link broke, and when to look after them
+    std::map<std::string, TimePoint> m_suspected; ///< by own findings, and when they are declared dead
     TimePoint m_nextSuspectProbe{};
 };
 
--- a/src/spread/messages.h
+++ b/src/spread/messages.h
@@ -69,7 +69,8 @@
     Version highWater;
     Version highestHeard; ///< highest mark that the sender knows to exist
     std::uint64_t hash = 0; ///< over its records
-    std::uint64_t membersHash = 0; ///< over its live members
+    std::uint64_t membersHash = 0; ///< over its members that are not dead
+    bool membersKnown = false; ///< the sender knows the whole fleet, not only who spoke to it
 };
 
 /// One 32 bit hash per bucket of keys; the answer is a RecordVersionsBody.
@@ -107,9 +108,11 @@
 struct MemberBucketsBody {
     std::vector<std::uint32_t> hashes;
 };
-/// Every live member of the listed buckets. The receiver gives back what the sender lacks, once.
+/// Every member of the listed buckets that is not dead; `total` buckets differ. The receiver gives back what the
+/// sender lacks, once.
 struct MemberSetBody {
     std::vector<std::uint8_t> buckets;
+    std::uint32_t total = 0;
     std::vector<MemberEntry> members;
     bool answer = false; ///< it answers another set; no further answer
 };
--- a/src/spread/platformquestions.cpp
+++ b/src/spread/platformquestions.cpp
@@ -7,15 +7,12 @@
 {
 }
 
-bool PlatformQuestions::hostsDue(TimePoint now, bool reader, std::size_t peers) const
+bool PlatformQuestions::hostsDue(TimePoint now, bool reader, bool fleetKnown) const
 {
-    if (peers == 0 && !m_hostsRead) {
-        return true;
-    }
-    return (reader || peers == 0) && (!m_hostsRead || now - m_hostsAt >= HostsPeriod);
+    return !fleetKnown || (reader && (!m_hostsRead || now - m_hostsAt >= HostsPeriod));
 }
 
-PlatformQuestions::Question PlatformQuestions::next(TimePoint now, bool reader, std::size_t peers)
+PlatformQuestions::Question PlatformQuestions::next(TimePoint now, bool reader, bool fleetKnown)
 {
     if (m_out != Kind::None) {
         if (now - m_askedAt < WatchWait + AnswerLimit) {
@@ -23,7 +20,7 @@
         }
         onError(now, milliseconds(0));
     }
-    const bool hosts = hostsDue(now, reader, peers);
+    const bool hosts = hostsDue(now, reader, fleetKnown);
     if ((!hosts && !reader) || !m_budget.take(now)) {
         return {};
     }
--- a/src/spread/platformquestions.h
+++ b/src/spread/platformquestions.h
@@ -27,8 +27,8 @@
     };
 
     PlatformQuestions(double callsPerSecond, double share, std::uint64_t seed);
-    /// `reader`: this node watches. `peers`: other members known; 0 makes any node read the host list.
-    Question next(TimePoint now, bool reader, std::size_t peers);
+    /// `reader`: this node watches. A node that does not know the fleet reads the host list.
+    Question next(TimePoint now, bool reader, bool fleetKnown);
     /// True when the whole store has been read.
     bool onConfigPage(TimePoint now, const ConfigPage &page);
     void onHostList(TimePoint now, std::size_t hosts);
@@ -40,7 +40,7 @@
     std::uint64_t refusals() const;
 
 private:
-    bool hostsDue(TimePoint now, bool reader, std::size_t peers) const;
+    bool hostsDue(TimePoint now, bool reader, bool fleetKnown) const;
 
     CallBudget m_budget;
     Kind m_out = Kind::None; ///< the question that waits for its answer
--- a/src/spread/recordexchange.cpp
+++ b/src/spread/recordexchange.cpp
@@ -180,6 +180,9 @@
 bool RecordExchange::on(TimePoint now, const MemberEntry &sender, const RecordsBody &body, bool trusted)
 {
     const auto news = m_context.store.apply(body.records);
+    for (const auto &it : body.records) {
+        m_pulled.erase(it.key);
+    }
     want(now, {sender.host, sender.port}, {}, body.announcements);
     if (news.empty() || !trusted) {
         return !news.empty();
@@ -225,12 +228,14 @@
     return overdue;
 }
 
-void RecordExchange::compare(TimePoint now, const Endpoint &with)
+void RecordExchange::compare(TimePoint now, const Endpoint &with, bool trusted)
 {
     auto &comparison = m_comparisons[with.host];
-    if (now - comparison.at < ComparePause) {
+    const TimePoint last = trusted ? comparison.at : m_lastComparison;
+    if (now - last < ComparePause) {
         return;
     }
+    m_lastComparison = now;
     comparison = Comparison{now};
     m_context.outbox.send(with, RecordBucketsBody{recordBuckets(m_context.store.versions())});
 }
@@ -254,13 +259,14 @@
     m_context.outbox.send(to, answer);
 }
 
-bool RecordExchange::on(const MemberEntry &sender, const RecordVersionsBody &body)
+bool RecordExchange::on(TimePoint now, const MemberEntry &sender, const RecordVersionsBody &body)
 {
     const Endpoint peer{sender.host, sender.port};
     const auto held = keysOf(m_context.store.versions(), body.buckets);
     const auto pulled = lacking(held, body.keys);
-    if (!pulled.empty()) {
-        m_context.outbox.send(peer, PullBody{pulled});
+    const auto asked = notAskedFor(now, pulled);
+    if (!asked.empty()) {
+        m_context.outbox.send(peer, PullBody{asked});
     }
     std::vector<Record> given;
     for (const auto &key : lacking(body.keys, held)) {
@@ -274,6 +280,19 @@
     return comparison.buckets == body.total && !comparison.lacked;
 }
 
+/// Leaves out keys that another peer was asked for a moment ago.
+std::vector<std::string> RecordExchange::notAskedFor(TimePoint now, const std::vector<std::string> &keys)
+{
+    std::erase_if(m_pulled, [&](const auto &it) { return now - it.second >= PullPause; });
+    std::vector<std::string> left;
+    for (const auto &key : keys) {
+        if (m_pulled.try_emplace(key, now).second) {
+            left.push_back(key);
+        }
+    }
+    return left;
+}
+
 void RecordExchange::on(const MemberEntry &sender, const PullBody &body)
 {
     std::vector<Record> found;
--- a/src/spread/recordexchange.h
+++ b/src/spread/recordexchange.h
@@ -18,7 +18,8 @@
 constexpr milliseconds BackupPushStep{300}; ///< ms by which each lower rank's push waits for the ranks above
 constexpr milliseconds MarkGraceTree{100}; ///< ms that a push may come after the beacon which tells of it
 constexpr milliseconds MarkGraceReader{500}; ///< ms for this reader's own watch before it asks another data centre
-constexpr milliseconds ComparePause{200}; ///< ms between two comparisons with the same peer
+constexpr milliseconds ComparePause{200}; ///< ms between two comparisons with the same peer; before the view is trusted, with any
+constexpr milliseconds PullPause{1'000}; ///< ms for the answer to a pull before another peer is asked for the same key
 constexpr std::size_t MaxPushedNews = 64; ///< records; more at once are left to comparisons
 
 class RecordExchange
@@ -32,7 +33,7 @@
     void onMark(TimePoint now, const Endpoint &from, Version mark, Duration grace);
     /// Peers to compare with now, because their mark is still not held.
     std::vector<Endpoint> overdueMarks(TimePoint now);
-    void compare(TimePoint now, const Endpoint &with);
+    void compare(TimePoint now, const Endpoint &with, bool trusted);
     /// Sends what is due. True when a push went out.
     bool onTick(TimePoint now);
     /// The mark up to which everything held was pushed.
@@ -42,7 +43,7 @@
     bool on(TimePoint now, const MemberEntry &sender, const RecordsBody &body, bool trusted);
     void on(const MemberEntry &sender, const RecordBucketsBody &body);
     /// True when the comparison is over and this node lacks nothing that the sender holds.
-    bool on(const MemberEntry &sender, const RecordVersionsBody &body);
+    bool on(TimePoint now, const MemberEntry &sender, const RecordVersionsBody &body);
     void on(const MemberEntry &sender, const PullBody &body);
     void on(const MemberEntry &sender, const ChunkPullBody &body);
     bool on(TimePoint now, const ChunkBody &body);
@@ -64,11 +65,14 @@
     void give(const Endpoint &to, const std::vector<Record> &records);
     void want(TimePoint now, const Endpoint &from, const std::string &root, const std::vector<Announcement> &announcements);
     void pull(const LargeValues::Pull &pull);
+    std::vector<std::string> notAskedFor(TimePoint now, const std::vector<std::string> &keys);
 
     SpreadContext &m_context;
     PushPlan m_plan;
     LargeValues m_large;
     std::map<std::string, Comparison> m_comparisons; ///< by host compared with
+    TimePoint m_lastComparison{};
+    std::map<std::string, TimePoint> m_pulled; ///< keys asked for, by key
     Version m_pushedMark;
     struct Overdue {
         Version mark;
--- a/src/spread/spreadcore.cpp
+++ b/src/spread/spreadcore.cpp
@@ -81,7 +81,7 @@
     TimePoint m_lastBeacon{};
     std::uint64_t m_beaconSequence = 0;
     bool m_beaconDue = false; ///< a push went out since the last beacon
-    bool m_met = false; ///< peers are known and have been told of this node
+    bool m_met = false; ///< the fleet is known and has been told of this node
     SpreadCounts m_counts;
 };
 
@@ -120,9 +120,7 @@
 
 SpreadActions SpreadCoreImpl::onTick(TimePoint now)
 {
-    if (m_lastTick == TimePoint{}) {
-        m_trust.beginStart(now);
-    } else if (now - m_lastTick > PauseLimit) {
+    if (m_lastTick != TimePoint{} && now - m_lastTick > PauseLimit) {
         wake(now);
     }
     m_lastTick = now;
@@ -187,7 +185,6 @@
 {
     m_members.onHostList(now, list);
     m_questions.onHostList(now, m_context.members.size());
-    m_readers.start(now);
     return take();
 }
 
@@ -233,6 +230,7 @@
 void SpreadCoreImpl::handle(TimePoint now, const MemberEntry &sender, const DigestBody &body)
 {
     const Endpoint peer{sender.host, sender.port};
+    m_members.onDigest(now, sender, body);
     if (!body.answer) {
         sendDigest(peer, body.nonce, true);
         return;
@@ -242,9 +240,8 @@
     m_trust.onMarks(sender.host, highest, body.trusted, equal);
     if (!equal && repairs()) {
         ++m_counts.repairs;
-        m_records.compare(now, peer);
+        m_records.compare(now, peer, m_trust.trusted());
     }
-    m_members.onMembersHash(now, sender, body.membersHash);
 }
 
 void SpreadCoreImpl::handle(TimePoint now, const MemberEntry &sender, const PushBody &body)
@@ -265,9 +262,9 @@
     m_records.on(sender, body);
 }
 
-void SpreadCoreImpl::handle(TimePoint, const MemberEntry &sender, const RecordVersionsBody &body)
+void SpreadCoreImpl::handle(TimePoint now, const MemberEntry &sender, const RecordVersionsBody &body)
 {
-    if (m_records.on(sender, body)) {
+    if (m_records.on(now, sender, body)) {
         m_trust.onNothingLacking(sender.host);
     }
 }
@@ -339,28 +336,30 @@
 {
     const Version held = m_context.store.highWater();
     const Version heard = std::max(held, m_trust.highestHeard());
-    m_context.outbox.send(to, DigestBody{nonce, answer, m_trust.trusted(), held, heard, m_context.store.hash(), m_context.members.hash()});
+    m_context.outbox.send(to,
+                          DigestBody{nonce, answer, m_trust.trusted(), held, heard, m_context.store.hash(), m_context.members.hash(), m_members.fleetKnown()});
 }
 
 void SpreadCoreImpl::askPlatform(TimePoint now)
 {
     const bool reader = isReader(now);
-    m_questions.setHosts(m_context.members.peerCount() == 0 ? 0 : m_context.members.size());
-    const auto question = m_questions.next(now, reader, m_context.members.peerCount());
+    m_questions.setHosts(m_members.fleetKnown() ? m_context.members.size() : 0);
+    const auto question = m_questions.next(now, reader, m_members.fleetKnown());
     m_actions.readHosts = question.kind == PlatformQuestions::Kind::Hosts;
     m_actions.watchConfig = question.kind == PlatformQuestions::Kind::Config;
     m_actions.watchAfter = question.after;
     m_actions.watchWait = question.wait;
 }
 
-/// Peers became known, by the host list or because one spoke first.
+/// The fleet became known, by the host list or from a member; the limits of the start count from here.
 void SpreadCoreImpl::meetPeers(TimePoint now)
 {
-    if (m_met || m_context.members.peerCount() == 0) {
+    if (m_met || !m_members.fleetKnown()) {
         return;
     }
     m_met = true;
     m_readers.start(now);
+    m_trust.beginStart(now);
     m_members.announceSelf();
 }
 
@@ -384,6 +383,9 @@
     for (const auto &host : m_members.takeSilent()) {
         m_trust.onSilent(host);
     }
+    if (!m_members.fleetKnown()) {
+        return;
+    }
     const std::size_t peers = baseline() ? 0 : m_context.members.peerCount();
     m_trust.update(now, m_context.store.highWater(), peers);
 }
--- a/src/spread/spreadreport.cpp
+++ b/src/spread/spreadreport.cpp
@@ -1,5 +1,7 @@
 #include "spread/spreadreport.h"
 
+#include "spread/tree.h"
+
 #include <algorithm>
 
 namespace Fescuenotch {
@@ -56,7 +58,11 @@
 
 void SpreadReport::setInForce(const std::string &profile, Version version)
 {
-    m_inForce[profile] = version;
+    if (version == Version{}) {
+        m_inForce.erase(profile);
+    } else {
+        m_inForce[profile] = version;
+    }
 }
 
 void SpreadReport::onSummary(TimePoint now, const std::string &child, const std::vector<SummaryLine> &lines)
@@ -83,11 +89,24 @@
     }
 }
 
+/// Who was a child earlier reports to another parent now, and must not be counted twice.
+std::vector<RankedHost> SpreadReport::currentChildren() const
+{
+    const auto &ranked = m_context.ownRanked();
+    if (ranked.empty()) {
+        return {};
+    }
+    const auto &settings = m_context.settings;
+    return treeChildren(ranked, settings.dataCentre, ranked.front().host, settings.self.host, settings.treeFanOut);
+}
+
 std::map<SpreadReport::Place, SummaryLine> SpreadReport::subtree(TimePoint now) const
 {
     std::map<Place, SummaryLine> sum;
     addOwn(sum);
-    for (const auto &[child, lines] : m_children) {
+    for (const auto &child : currentChildren()) {
+        const auto found = m_children.find(child.host);
+        const auto lines = found == m_children.end() ? std::map<Place, Renewed>() : found->second;
         for (const auto &[place, renewed] : lines) {
             if (now - renewed.at <= lifeOf(lines.size())) {
                 addLine(sum.try_emplace(place, SummaryLine{place.first, place.second, {}, 0, 0, milliseconds(0)}).first->second, renewed.line);
--- a/src/spread/spreadreport.h
+++ b/src/spread/spreadreport.h
@@ -23,6 +23,7 @@
 {
 public:
     explicit SpreadReport(SpreadContext &context);
+    /// Version zero: the profile is not in force here any more.
     void setInForce(const std::string &profile, Version version);
     /// The subtree of a child.
     void onSummary(TimePoint now, const std::string &child, const std::vector<SummaryLine> &lines);
@@ -58,6 +59,7 @@
         Place m_last;
     };
 
+    std::vector<RankedHost> currentChildren() const;
     std::map<Place, SummaryLine> subtree(TimePoint now) const;
     void addOwn(std::map<Place, SummaryLine> &into) const;
     unsigned expected(const std::string &profile) const;
--- a/src/spread/viewtrust.cpp
+++ b/src/spread/viewtrust.cpp
@@ -120,7 +120,8 @@
 
 bool ViewTrust::asks(TimePoint now)
 {
-    if (m_trusted || now - m_lastAsk < AskPeriod) {
+    const Duration period = now - m_since > GiveUpLimit ? AskPeriodLater : AskPeriod;
+    if (m_trusted || now - m_lastAsk < period) {
         return false;
     }
     m_lastAsk = now;
--- a/src/spread/viewtrust.h
+++ b/src/spread/viewtrust.h
@@ -18,6 +18,7 @@
 namespace Fescuenotch {
 
 constexpr milliseconds AskPeriod{100}; ///< ms between rounds of questions while the view is not trusted
+constexpr milliseconds AskPeriodLater{1'000}; ///< ms between them after `GiveUpLimit`
 constexpr std::size_t AsksPerRound = 3; ///< peers of the own data centre, and as many of others
 constexpr milliseconds AloneLimit{1'000}; ///< ms; when no peer answered by then, the platform alone will do
 constexpr milliseconds SettleLimit{1'500}; ///< ms; marks have reached every node of a herd that started together
--- a/src/wire/control_generated.h
+++ b/src/wire/control_generated.h
@@ -938,7 +938,8 @@
     VT_HIGH_WATER = 10,
     VT_HIGHEST_HEARD = 12,
     VT_HASH = 14,
-    VT_MEMBERS_HASH = 16
+    VT_MEMBERS_HASH = 16,
+    VT_MEMBERS_KNOWN = 18
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -961,6 +962,9 @@
   uint64_t members_hash() const {
     return GetField<uint64_t>(VT_MEMBERS_HASH, 0);
   }
+  bool members_known() const {
+    return GetField<uint8_t>(VT_MEMBERS_KNOWN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -970,6 +974,7 @@
            VerifyFieldRequired<Fescuenotch::ControlWire::Mark>(verifier, VT_HIGHEST_HEARD, 8) &&
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_HASH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MEMBERS_KNOWN, 1) &&
            verifier.EndTable();
   }
 };
@@ -999,6 +1004,9 @@
   void add_members_hash(uint64_t members_hash) {
     fbb_.AddElement<uint64_t>(Digest::VT_MEMBERS_HASH, members_hash, 0);
   }
+  void add_members_known(bool members_known) {
+    fbb_.AddElement<uint8_t>(Digest::VT_MEMBERS_KNOWN, static_cast<uint8_t>(members_known), 0);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1020,13 +1028,15 @@
     const Fescuenotch::ControlWire::Mark *high_water = nullptr,
     const Fescuenotch::ControlWire::Mark *highest_heard = nullptr,
     uint64_t hash = 0,
-    uint64_t members_hash = 0) {
+    uint64_t members_hash = 0,
+    bool members_known = false) {
   DigestBuilder builder_(_fbb);
   builder_.add_members_hash(members_hash);
   builder_.add_hash(hash);
   builder_.add_nonce(nonce);
   builder_.add_highest_heard(highest_heard);
   builder_.add_high_water(high_water);
+  builder_.add_members_known(members_known);
   builder_.add_trusted(trusted);
   builder_.add_answer(answer);
   return builder_.Finish();
@@ -1516,12 +1526,16 @@
   typedef MemberSetBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BUCKETS = 4,
-    VT_MEMBERS = 6,
-    VT_ANSWER = 8
+    VT_TOTAL = 6,
+    VT_MEMBERS = 8,
+    VT_ANSWER = 10
   };
   const flatbuffers::Vector<uint8_t> *buckets() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BUCKETS);
   }
+  uint32_t total() const {
+    return GetField<uint32_t>(VT_TOTAL, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>> *>(VT_MEMBERS);
   }
@@ -1532,6 +1546,7 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_BUCKETS) &&
            verifier.VerifyVector(buckets()) &&
+           VerifyField<uint32_t>(verifier, VT_TOTAL, 4) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
@@ -1547,6 +1562,9 @@
   void add_buckets(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> buckets) {
     fbb_.AddOffset(MemberSet::VT_BUCKETS, buckets);
   }
+  void add_total(uint32_t total) {
+    fbb_.AddElement<uint32_t>(MemberSet::VT_TOTAL, total, 0);
+  }
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>>> members) {
     fbb_.AddOffset(MemberSet::VT_MEMBERS, members);
   }
@@ -1567,10 +1585,12 @@
 inline flatbuffers::Offset<MemberSet> CreateMemberSet(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> buckets = 0,
+    uint32_t total = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>>> members = 0,
     bool answer = false) {
   MemberSetBuilder builder_(_fbb);
   builder_.add_members(members);
+  builder_.add_total(total);
   builder_.add_buckets(buckets);
   builder_.add_answer(answer);
   return builder_.Finish();
@@ -1579,6 +1599,7 @@
 inline flatbuffers::Offset<MemberSet> CreateMemberSetDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint8_t> *buckets = nullptr,
+    uint32_t total = 0,
     const std::vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>> *members = nullptr,
     bool answer = false) {
   auto buckets__ = buckets ? _fbb.CreateVector<uint8_t>(*buckets) : 0;
@@ -1586,6 +1607,7 @@
   return Fescuenotch::ControlWire::CreateMemberSet(
       _fbb,
       buckets__,
+      total,
       members__,
       answer);
 }
--- a/src/wire/controlcodec.cpp
+++ b/src/wire/controlcodec.cpp
@@ -104,7 +104,7 @@
     {
         const auto highWater = mark(v.highWater);
         const auto heard = mark(v.highestHeard);
-        return Wire::CreateDigest(b, v.nonce, v.answer, v.trusted, &highWater, &heard, v.hash, v.membersHash);
+        return Wire::CreateDigest(b, v.nonce, v.answer, v.trusted, &highWater, &heard, v.hash, v.membersHash, v.membersKnown);
     }
     Offset<Wire::RecordBuckets> operator()(const RecordBucketsBody &v) const
     {
@@ -142,7 +142,7 @@
     Offset<Wire::MemberSet> operator()(const MemberSetBody &v) const
     {
         const auto buckets = b.CreateVector(v.buckets);
-        return Wire::CreateMemberSet(b, buckets, list<Wire::Member>(b, v.members), v.answer);
+        return Wire::CreateMemberSet(b, buckets, v.total, list<Wire::Member>(b, v.members), v.answer);
     }
     Offset<Wire::ProbeRequest> operator()(const ProbeRequestBody &v) const
     {
@@ -277,7 +277,7 @@
 }
 DigestBody get(const Wire::Digest *v)
 {
-    return {v->nonce(), v->answer(), v->trusted(), version(v->high_water()), version(v->highest_heard()), v->hash(), v->members_hash()};
+    return {v->nonce(), v->answer(), v->trusted(), version(v->high_water()), version(v->highest_heard()), v->hash(), v->members_hash(), v->members_known()};
 }
 RecordBucketsBody get(const Wire::RecordBuckets *v)
 {
@@ -317,7 +317,7 @@
 }
 MemberSetBody get(const Wire::MemberSet *v)
 {
-    return {getNumbers(v->buckets()), getList<MemberEntry>(v->members(), MaxMembersPerMessage), v->answer()};
+    return {getNumbers(v->buckets()), v->total(), getList<MemberEntry>(v->members(), MaxMembersPerMessage), v->answer()};
 }
 ProbeRequestBody get(const Wire::ProbeRequest *v)
 {
--- a/tests/spread/fleet.cpp
+++ b/tests/spread/fleet.cpp
@@ -153,6 +153,11 @@
         }
         highest = it.newestValid;
     }
+    const auto snapshot = node.store.build("desk", nullptr);
+    if (snapshot != nullptr && snapshot->version != node.inForce) {
+        node.inForce = snapshot->version;
+        carryOut(node, node.core->onInForce(m_now, "desk", snapshot->version));
+    }
 }
 
 void Fleet::deliver(const Message &message)
--- a/tests/spread/fleet.h
+++ b/tests/spread/fleet.h
@@ -75,6 +75,7 @@
         std::uint64_t watchAfter = 0;
         TimePoint watchUntil{};
         bool asksHosts = false;
+        Version inForce;
         std::map<std::string, Version> highest; ///< by key, as seen by the check
         std::deque<std::string> inbox; ///< messages kept while it is paused
     };
