--- a/src/spread/memberexchange.cpp
+++ b/src/spread/memberexchange.cpp
@@ -227,8 +227,11 @@
         return now >= it.second;
     });
     for (const auto &host : hosts) {
-        m_probes[host] = Outstanding{now, Stage::ThroughOthers};
-        askHelpers(host);
+        auto &outstanding = m_probes.try_emplace(host, Outstanding{now, Stage::Direct}).first->second;
+        if (outstanding.stage == Stage::Direct) {
+            outstanding = Outstanding{now, Stage::ThroughOthers};
+            askHelpers(host);
+        }
     }
 }
 
--- a/src/spread/messages.h
+++ b/src/spread/messages.h
@@ -71,6 +71,7 @@
     std::uint64_t hash = 0; ///< over its records
     std::uint64_t membersHash = 0; ///< over its members that are not dead
     bool membersKnown = false; ///< the sender knows the whole fleet, not only who spoke to it
+    bool collecting = false; ///< it holds changes that it will push soon; a steady peer need not compare yet
 };
 
 /// One 32 bit hash per bucket of keys; the answer is a RecordVersionsBody.
--- a/src/spread/recordexchange.cpp
+++ b/src/spread/recordexchange.cpp
@@ -106,6 +106,11 @@
     return !due.empty();
 }
 
+bool RecordExchange::collecting() const
+{
+    return !m_plan.empty();
+}
+
 Version RecordExchange::pushedMark() const
 {
     return m_pushedMark;
@@ -152,13 +157,22 @@
     return to;
 }
 
-void RecordExchange::relay(const std::string &root, const std::vector<Record> &news)
+/// Passes on each version once.
+void RecordExchange::relay(const std::string &root, const std::vector<Record> &records)
 {
-    if (news.empty()) {
+    std::vector<Record> fresh;
+    for (const auto &record : records) {
+        auto &relayed = m_relayed[record.key];
+        if (record.version > relayed) {
+            relayed = record.version;
+            fresh.push_back(record);
+        }
+    }
+    if (fresh.empty()) {
         return;
     }
     const auto to = relayTargets(root);
-    for (const auto &body : batches(news, PushBody{root, {}, {}})) {
+    for (const auto &body : batches(fresh, PushBody{root, {}, {}})) {
         m_context.outbox.sendAll(to, body);
     }
 }
@@ -172,11 +186,32 @@
         m_plan.seen(record.key, record.version);
     }
     const auto news = m_context.store.apply(body.records);
-    relay(root, news);
+    relay(root, heldOf(body));
     want(now, {sender.host, sender.port}, root, body.announcements);
     return !news.empty();
 }
 
+/// The records of a push that this node holds at that very version, announced values included.
+std::vector<Record> RecordExchange::heldOf(const PushBody &body) const
+{
+    std::map<std::string, Version> pushed;
+    for (const auto &it : body.records) {
+        pushed[it.key] = it.version;
+    }
+    for (const auto &it : body.announcements) {
+        pushed[it.key] = it.version;
+    }
+    std::vector<Record> held;
+    for (const auto &[key, version] : pushed) {
+        for (const auto &record : m_context.store.records(key)) {
+            if (record.version == version) {
+                held.push_back(record);
+            }
+        }
+    }
+    return held;
+}
+
 bool RecordExchange::on(TimePoint now, const MemberEntry &sender, const RecordsBody &body, bool trusted)
 {
     const auto news = m_context.store.apply(body.records);
--- a/src/spread/recordexchange.h
+++ b/src/spread/recordexchange.h
@@ -2,7 +2,8 @@
 //
 // How to use: one `on` per message body; true says that the store changed. `onTick` sends the pushes that are due.
 // `compare` starts a comparison with a peer whose digest differs; `Listener` hears its outcome.
-// Pitfall: only what was news in the store is passed on, so that no message runs in circles.
+// Pitfall: each version is passed on once, so that no message runs in circles. News in the store is no measure: a reader
+// holds a record before another reader's push of it comes, and its children still wait for it.
 #pragma once
 
 #include "spread/largevalues.h"
@@ -36,6 +37,8 @@
     void compare(TimePoint now, const Endpoint &with, bool trusted);
     /// Sends what is due. True when a push went out.
     bool onTick(TimePoint now);
+    /// Changes wait for their push.
+    bool collecting() const;
     /// The mark up to which everything held was pushed.
     Version pushedMark() const;
 
@@ -59,7 +62,8 @@
 
     bool isBytes(const std::string &key) const;
     bool treeUsed() const;
-    void relay(const std::string &root, const std::vector<Record> &news);
+    void relay(const std::string &root, const std::vector<Record> &records);
+    std::vector<Record> heldOf(const PushBody &body) const;
     std::vector<Endpoint> relayTargets(const std::string &root);
     void pushForeign(const std::vector<Record> &news);
     void give(const Endpoint &to, const std::vector<Record> &records);
@@ -79,6 +83,7 @@
         TimePoint due;
     };
     std::map<Endpoint, Overdue> m_marks;
+    std::map<std::string, Version> m_relayed; ///< highest version sent on, by key
     std::vector<Endpoint> m_hints;
 };
 
--- a/src/spread/spreadcore.cpp
+++ b/src/spread/spreadcore.cpp
@@ -238,7 +238,8 @@
     const bool equal = body.hash == m_context.store.hash();
     const Version highest = std::max(body.highWater, body.highestHeard);
     m_trust.onMarks(sender.host, highest, body.trusted, equal);
-    if (!equal && repairs()) {
+    const bool pushComes = m_trust.trusted() && (body.collecting || m_records.collecting());
+    if (!equal && repairs() && !pushComes) {
         ++m_counts.repairs;
         m_records.compare(now, peer, m_trust.trusted());
     }
@@ -336,8 +337,10 @@
 {
     const Version held = m_context.store.highWater();
     const Version heard = std::max(held, m_trust.highestHeard());
-    m_context.outbox.send(to,
-                          DigestBody{nonce, answer, m_trust.trusted(), held, heard, m_context.store.hash(), m_context.members.hash(), m_members.fleetKnown()});
+    m_context.outbox.send(
+        to,
+        DigestBody{
+            nonce, answer, m_trust.trusted(), held, heard, m_context.store.hash(), m_context.members.hash(), m_members.fleetKnown(), m_records.collecting()});
 }
 
 void SpreadCoreImpl::askPlatform(TimePoint now)
--- a/src/wire/control_generated.h
+++ b/src/wire/control_generated.h
@@ -939,7 +939,8 @@
     VT_HIGHEST_HEARD = 12,
     VT_HASH = 14,
     VT_MEMBERS_HASH = 16,
-    VT_MEMBERS_KNOWN = 18
+    VT_MEMBERS_KNOWN = 18,
+    VT_COLLECTING = 20
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -965,6 +966,9 @@
   bool members_known() const {
     return GetField<uint8_t>(VT_MEMBERS_KNOWN, 0) != 0;
   }
+  bool collecting() const {
+    return GetField<uint8_t>(VT_COLLECTING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -975,6 +979,7 @@
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_HASH, 8) &&
            VerifyField<uint8_t>(verifier, VT_MEMBERS_KNOWN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_COLLECTING, 1) &&
            verifier.EndTable();
   }
 };
@@ -1007,6 +1012,9 @@
   void add_members_known(bool members_known) {
     fbb_.AddElement<uint8_t>(Digest::VT_MEMBERS_KNOWN, static_cast<uint8_t>(members_known), 0);
   }
+  void add_collecting(bool collecting) {
+    fbb_.AddElement<uint8_t>(Digest::VT_COLLECTING, static_cast<uint8_t>(collecting), 0);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1029,13 +1037,15 @@
     const Fescuenotch::ControlWire::Mark *highest_heard = nullptr,
     uint64_t hash = 0,
     uint64_t members_hash = 0,
-    bool members_known = false) {
+    bool members_known = false,
+    bool collecting = false) {
   DigestBuilder builder_(_fbb);
   builder_.add_members_hash(members_hash);
   builder_.add_hash(hash);
   builder_.add_nonce(nonce);
   builder_.add_highest_heard(highest_heard);
   builder_.add_high_water(high_water);
+  builder_.add_collecting(collecting);
   builder_.add_members_known(members_known);
   builder_.add_trusted(trusted);
   builder_.add_answer(answer);
--- a/src/wire/controlcodec.cpp
+++ b/src/wire/controlcodec.cpp
@@ -104,7 +104,7 @@
     {
         const auto highWater = mark(v.highWater);
         const auto heard = mark(v.highestHeard);
-        return Wire::CreateDigest(b, v.nonce, v.answer, v.trusted, &highWater, &heard, v.hash, v.membersHash, v.membersKnown);
+        return Wire::CreateDigest(b, v.nonce, v.answer, v.trusted, &highWater, &heard, v.hash, v.membersHash, v.membersKnown, v.collecting);
     }
     Offset<Wire::RecordBuckets> operator()(const RecordBucketsBody &v) const
     {
@@ -277,7 +277,15 @@
 }
 DigestBody get(const Wire::Digest *v)
 {
-    return {v->nonce(), v->answer(), v->trusted(), version(v->high_water()), version(v->highest_heard()), v->hash(), v->members_hash(), v->members_known()};
+    return {v->nonce(),
+            v->answer(),
+            v->trusted(),
+            version(v->high_water()),
+            version(v->highest_heard()),
+            v->hash(),
+            v->members_hash(),
+            v->members_known(),
+            v->collecting()};
 }
 RecordBucketsBody get(const Wire::RecordBuckets *v)
 {
