--- a/src/spread/spreadcore.cpp
+++ b/src/spread/spreadcore.cpp
@@ -6,6 +6,7 @@
 #include "spread/readers.h"
 #include "spread/recordexchange.h"
 #include "spread/spreadcontext.h"
+#include "spread/spreadreport.h"
 #include "spread/tree.h"
 #include "spread/viewtrust.h"
 #include "wire/controlcodec.h"
@@ -36,6 +37,7 @@
     bool isReader(TimePoint now) const override;
     std::vector<MemberView> members() const override;
     std::vector<SpreadLine> report(TimePoint now) const override;
+    SpreadCounts counts() const override;
 
 private:
     SpreadActions take();
@@ -48,6 +50,7 @@
     void sendBeacons(TimePoint now);
     void sendBeacon(TimePoint now, bool relay, const std::vector<Endpoint> &to);
     void updateTrust(TimePoint now);
+    void sendSummary(TimePoint now);
     bool repairs() const;
 
     void handle(TimePoint now, const MemberEntry &sender, const DigestBody &body);
@@ -72,13 +75,14 @@
     Readers m_readers;
     PlatformQuestions m_questions;
     ViewTrust m_trust;
+    SpreadReport m_report;
     SpreadActions m_actions; ///< of the event at hand
     TimePoint m_lastTick{};
     TimePoint m_lastBeacon{};
     std::uint64_t m_beaconSequence = 0;
     bool m_beaconDue = false; ///< a push went out since the last beacon
-    bool m_met = false; ///< peers are known and have been told of this node
-    std::uint64_t m_badMessages = 0;
+    bool m_met = false; ///< the fleet is known and has been told of this node
+    SpreadCounts m_counts;
 };
 
 // ---- construction
@@ -89,6 +93,7 @@
     , m_records(m_context)
     , m_readers(settings.readers, m_context.members.self())
     , m_questions(settings.callsPerSecond, settings.callShare, m_context.random())
+    , m_report(m_context)
 {
 }
 
@@ -115,9 +120,7 @@
 
 SpreadActions SpreadCoreImpl::onTick(TimePoint now)
 {
-    if (m_lastTick == TimePoint{}) {
-        m_trust.beginStart(now);
-    } else if (now - m_lastTick > PauseLimit) {
+    if (m_lastTick != TimePoint{} && now - m_lastTick > PauseLimit) {
         wake(now);
     }
     m_lastTick = now;
@@ -129,6 +132,7 @@
         for (const auto &it : m_records.overdueMarks(now)) {
             sendDigest(it, 0, false);
         }
+        sendSummary(now);
         sendBeacons(now);
         askPeers(now);
     }
@@ -141,10 +145,12 @@
     const auto decoded = valueOrError([&] { return decodeControl(bytes); });
     const auto *message = std::get_if<ControlMessage>(&decoded);
     if (message == nullptr || message->sender.host == m_context.settings.self.host) {
-        ++m_badMessages;
+        ++m_counts.badMessages;
         return take();
     }
-    if (m_members.onHeard(now, message->sender, message->news)) {
+    if (!m_members.onHeard(now, message->sender, message->news)) {
+        ++m_counts.staleSenders;
+    } else {
         std::visit([&](const auto &body) { handle(now, message->sender, body); }, message->body);
         for (const auto &it : m_records.takeRepairHints()) {
             sendDigest(it, 0, false);
@@ -179,7 +185,6 @@
 {
     m_members.onHostList(now, list);
     m_questions.onHostList(now, m_context.members.size());
-    m_readers.start(now);
     return take();
 }
 
@@ -198,8 +203,9 @@
     return take();
 }
 
-SpreadActions SpreadCoreImpl::onInForce(TimePoint, const std::string &, Version)
+SpreadActions SpreadCoreImpl::onInForce(TimePoint, const std::string &profile, Version version)
 {
+    m_report.setInForce(profile, version);
     return take();
 }
 
@@ -213,6 +219,7 @@
 
 void SpreadCoreImpl::wake(TimePoint now)
 {
+    ++m_counts.wakes;
     m_members.onWake(now);
     m_readers.restart(now);
     m_trust.beginWake(now);
@@ -223,6 +230,7 @@
 void SpreadCoreImpl::handle(TimePoint now, const MemberEntry &sender, const DigestBody &body)
 {
     const Endpoint peer{sender.host, sender.port};
+    m_members.onDigest(now, sender, body);
     if (!body.answer) {
         sendDigest(peer, body.nonce, true);
         return;
@@ -230,10 +238,11 @@
     const bool equal = body.hash == m_context.store.hash();
     const Version highest = std::max(body.highWater, body.highestHeard);
     m_trust.onMarks(sender.host, highest, body.trusted, equal);
-    if (!equal && repairs()) {
-        m_records.compare(now, peer);
+    const bool pushComes = m_trust.trusted() && (body.collecting || m_records.collecting());
+    if (!equal && repairs() && !pushComes) {
+        ++m_counts.repairs;
+        m_records.compare(now, peer, m_trust.trusted());
     }
-    m_members.onMembersHash(now, sender, body.membersHash);
 }
 
 void SpreadCoreImpl::handle(TimePoint now, const MemberEntry &sender, const PushBody &body)
@@ -254,9 +263,9 @@
     m_records.on(sender, body);
 }
 
-void SpreadCoreImpl::handle(TimePoint, const MemberEntry &sender, const RecordVersionsBody &body)
+void SpreadCoreImpl::handle(TimePoint now, const MemberEntry &sender, const RecordVersionsBody &body)
 {
-    if (m_records.on(sender, body)) {
+    if (m_records.on(now, sender, body)) {
         m_trust.onNothingLacking(sender.host);
     }
 }
@@ -305,6 +314,7 @@
 {
     const Duration grace = isReader(now) ? MarkGraceReader : MarkGraceTree;
     m_records.onMark(now, {sender.host, sender.port}, body.highWater, grace);
+    m_report.onTotals(now, body.summary);
     if (!m_readers.onBeacon(now, body) || !body.relay) {
         return;
     }
@@ -316,8 +326,9 @@
     m_context.outbox.sendAll(to, body);
 }
 
-void SpreadCoreImpl::handle(TimePoint, const MemberEntry &, const SummaryBody &)
+void SpreadCoreImpl::handle(TimePoint now, const MemberEntry &sender, const SummaryBody &body)
 {
+    m_report.onSummary(now, sender.host, body.lines);
 }
 
 // ---- questions to peers and the platform
@@ -326,28 +337,32 @@
 {
     const Version held = m_context.store.highWater();
     const Version heard = std::max(held, m_trust.highestHeard());
-    m_context.outbox.send(to, DigestBody{nonce, answer, m_trust.trusted(), held, heard, m_context.store.hash(), m_context.members.hash()});
+    m_context.outbox.send(
+        to,
+        DigestBody{
+            nonce, answer, m_trust.trusted(), held, heard, m_context.store.hash(), m_context.members.hash(), m_members.fleetKnown(), m_records.collecting()});
 }
 
 void SpreadCoreImpl::askPlatform(TimePoint now)
 {
     const bool reader = isReader(now);
-    m_questions.setHosts(m_context.members.peerCount() == 0 ? 0 : m_context.members.size());
-    const auto question = m_questions.next(now, reader, m_context.members.peerCount());
+    m_questions.setHosts(m_members.fleetKnown() ? m_context.members.size() : 0);
+    const auto question = m_questions.next(now, reader, m_members.fleetKnown());
     m_actions.readHosts = question.kind == PlatformQuestions::Kind::Hosts;
     m_actions.watchConfig = question.kind == PlatformQuestions::Kind::Config;
     m_actions.watchAfter = question.after;
     m_actions.watchWait = question.wait;
 }
 
-/// Peers became known, by the host list or because one spoke first.
+/// The fleet became known, by the host list or from a member; the limits of the start count from here.
 void SpreadCoreImpl::meetPeers(TimePoint now)
 {
-    if (m_met || m_context.members.peerCount() == 0) {
+    if (m_met || !m_members.fleetKnown()) {
         return;
     }
     m_met = true;
     m_readers.start(now);
+    m_trust.beginStart(now);
     m_members.announceSelf();
 }
 
@@ -371,16 +386,36 @@
     for (const auto &host : m_members.takeSilent()) {
         m_trust.onSilent(host);
     }
+    if (!m_members.fleetKnown()) {
+        return;
+    }
     const std::size_t peers = baseline() ? 0 : m_context.members.peerCount();
     m_trust.update(now, m_context.store.highWater(), peers);
 }
 
 // ---- beacons
 
+/// Up the tree of the first rank; the first rank itself adds up the data centre.
+void SpreadCoreImpl::sendSummary(TimePoint now)
+{
+    const auto &settings = m_context.settings;
+    const auto *parent = treeParent(m_context.ownRanked(), settings.self.host, settings.treeFanOut);
+    if (parent == nullptr) {
+        m_report.addUp(now);
+        return;
+    }
+    const auto lines = m_report.dueLines(now);
+    if (!lines.empty()) {
+        m_context.outbox.send(parent->peer, SummaryBody{lines});
+    }
+}
+
 void SpreadCoreImpl::sendBeacon(TimePoint now, bool relay, const std::vector<Endpoint> &to)
 {
+    const bool firstRank = m_readers.rank(m_context.ownRanked()) == 0;
+    const auto summary = firstRank ? m_report.totals(relay) : std::vector<SummaryLine>();
     const auto age = std::chrono::duration_cast<milliseconds>(m_questions.platformAge(now));
-    m_context.outbox.sendAll(to, BeaconBody{m_context.members.self(), m_beaconSequence, age, m_records.pushedMark(), relay, {}});
+    m_context.outbox.sendAll(to, BeaconBody{m_context.members.self(), m_beaconSequence, age, m_records.pushedMark(), relay, summary});
 }
 
 void SpreadCoreImpl::sendBeacons(TimePoint now)
@@ -431,9 +466,19 @@
     return views;
 }
 
-std::vector<SpreadLine> SpreadCoreImpl::report(TimePoint) const
+std::vector<SpreadLine> SpreadCoreImpl::report(TimePoint now) const
+{
+    return m_report.lines(now);
+}
+
+SpreadCounts SpreadCoreImpl::counts() const
 {
-    return {};
+    SpreadCounts counts = m_counts;
+    counts.platformRefusals = m_questions.refusals();
+    counts.stalePages = m_context.store.stalePages();
+    counts.suspicions = m_members.suspicions();
+    counts.refutations = m_context.members.self().refutation;
+    return counts;
 }
 
 } // namespace
--- a/src/wire/control_generated.h
+++ b/src/wire/control_generated.h
@@ -669,7 +669,8 @@
     VT_DATA_CENTRE = 6,
     VT_COUNTS = 8,
     VT_REJECTING = 10,
-    VT_LAG_MS = 12
+    VT_SILENT = 12,
+    VT_LAG_MS = 14
   };
   const flatbuffers::String *profile() const {
     return GetPointer<const flatbuffers::String *>(VT_PROFILE);
@@ -683,6 +684,9 @@
   uint32_t rejecting() const {
     return GetField<uint32_t>(VT_REJECTING, 0);
   }
+  uint32_t silent() const {
+    return GetField<uint32_t>(VT_SILENT, 0);
+  }
   uint64_t lag_ms() const {
     return GetField<uint64_t>(VT_LAG_MS, 0);
   }
@@ -696,6 +700,7 @@
            verifier.VerifyVector(counts()) &&
            verifier.VerifyVectorOfTables(counts()) &&
            VerifyField<uint32_t>(verifier, VT_REJECTING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SILENT, 4) &&
            VerifyField<uint64_t>(verifier, VT_LAG_MS, 8) &&
            verifier.EndTable();
   }
@@ -717,6 +722,9 @@
   void add_rejecting(uint32_t rejecting) {
     fbb_.AddElement<uint32_t>(SummaryLine::VT_REJECTING, rejecting, 0);
   }
+  void add_silent(uint32_t silent) {
+    fbb_.AddElement<uint32_t>(SummaryLine::VT_SILENT, silent, 0);
+  }
   void add_lag_ms(uint64_t lag_ms) {
     fbb_.AddElement<uint64_t>(SummaryLine::VT_LAG_MS, lag_ms, 0);
   }
@@ -739,9 +747,11 @@
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::VersionCount>>> counts = 0,
     uint32_t rejecting = 0,
+    uint32_t silent = 0,
     uint64_t lag_ms = 0) {
   SummaryLineBuilder builder_(_fbb);
   builder_.add_lag_ms(lag_ms);
+  builder_.add_silent(silent);
   builder_.add_rejecting(rejecting);
   builder_.add_counts(counts);
   builder_.add_data_centre(data_centre);
@@ -755,6 +765,7 @@
     const char *data_centre = nullptr,
     const std::vector<flatbuffers::Offset<Fescuenotch::ControlWire::VersionCount>> *counts = nullptr,
     uint32_t rejecting = 0,
+    uint32_t silent = 0,
     uint64_t lag_ms = 0) {
   auto profile__ = profile ? _fbb.CreateString(profile) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
@@ -765,6 +776,7 @@
       data_centre__,
       counts__,
       rejecting,
+      silent,
       lag_ms);
 }
 
@@ -926,7 +938,9 @@
     VT_HIGH_WATER = 10,
     VT_HIGHEST_HEARD = 12,
     VT_HASH = 14,
-    VT_MEMBERS_HASH = 16
+    VT_MEMBERS_HASH = 16,
+    VT_MEMBERS_KNOWN = 18,
+    VT_COLLECTING = 20
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -949,6 +963,12 @@
   uint64_t members_hash() const {
     return GetField<uint64_t>(VT_MEMBERS_HASH, 0);
   }
+  bool members_known() const {
+    return GetField<uint8_t>(VT_MEMBERS_KNOWN, 0) != 0;
+  }
+  bool collecting() const {
+    return GetField<uint8_t>(VT_COLLECTING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -958,6 +978,8 @@
            VerifyFieldRequired<Fescuenotch::ControlWire::Mark>(verifier, VT_HIGHEST_HEARD, 8) &&
            VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_HASH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MEMBERS_KNOWN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_COLLECTING, 1) &&
            verifier.EndTable();
   }
 };
@@ -987,6 +1009,12 @@
   void add_members_hash(uint64_t members_hash) {
     fbb_.AddElement<uint64_t>(Digest::VT_MEMBERS_HASH, members_hash, 0);
   }
+  void add_members_known(bool members_known) {
+    fbb_.AddElement<uint8_t>(Digest::VT_MEMBERS_KNOWN, static_cast<uint8_t>(members_known), 0);
+  }
+  void add_collecting(bool collecting) {
+    fbb_.AddElement<uint8_t>(Digest::VT_COLLECTING, static_cast<uint8_t>(collecting), 0);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1008,13 +1036,17 @@
     const Fescuenotch::ControlWire::Mark *high_water = nullptr,
     const Fescuenotch::ControlWire::Mark *highest_heard = nullptr,
     uint64_t hash = 0,
-    uint64_t members_hash = 0) {
+    uint64_t members_hash = 0,
+    bool members_known = false,
+    bool collecting = false) {
   DigestBuilder builder_(_fbb);
   builder_.add_members_hash(members_hash);
   builder_.add_hash(hash);
   builder_.add_nonce(nonce);
   builder_.add_highest_heard(highest_heard);
   builder_.add_high_water(high_water);
+  builder_.add_collecting(collecting);
+  builder_.add_members_known(members_known);
   builder_.add_trusted(trusted);
   builder_.add_answer(answer);
   return builder_.Finish();
@@ -1504,12 +1536,16 @@
   typedef MemberSetBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BUCKETS = 4,
-    VT_MEMBERS = 6,
-    VT_ANSWER = 8
+    VT_TOTAL = 6,
+    VT_MEMBERS = 8,
+    VT_ANSWER = 10
   };
   const flatbuffers::Vector<uint8_t> *buckets() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BUCKETS);
   }
+  uint32_t total() const {
+    return GetField<uint32_t>(VT_TOTAL, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>> *>(VT_MEMBERS);
   }
@@ -1520,6 +1556,7 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_BUCKETS) &&
            verifier.VerifyVector(buckets()) &&
+           VerifyField<uint32_t>(verifier, VT_TOTAL, 4) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
@@ -1535,6 +1572,9 @@
   void add_buckets(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> buckets) {
     fbb_.AddOffset(MemberSet::VT_BUCKETS, buckets);
   }
+  void add_total(uint32_t total) {
+    fbb_.AddElement<uint32_t>(MemberSet::VT_TOTAL, total, 0);
+  }
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>>> members) {
     fbb_.AddOffset(MemberSet::VT_MEMBERS, members);
   }
@@ -1555,10 +1595,12 @@
 inline flatbuffers::Offset<MemberSet> CreateMemberSet(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> buckets = 0,
+    uint32_t total = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>>> members = 0,
     bool answer = false) {
   MemberSetBuilder builder_(_fbb);
   builder_.add_members(members);
+  builder_.add_total(total);
   builder_.add_buckets(buckets);
   builder_.add_answer(answer);
   return builder_.Finish();
@@ -1567,6 +1609,7 @@
 inline flatbuffers::Offset<MemberSet> CreateMemberSetDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint8_t> *buckets = nullptr,
+    uint32_t total = 0,
     const std::vector<flatbuffers::Offset<Fescuenotch::ControlWire::Member>> *members = nullptr,
     bool answer = false) {
   auto buckets__ = buckets ? _fbb.CreateVector<uint8_t>(*buckets) : 0;
@@ -1574,6 +1617,7 @@
   return Fescuenotch::ControlWire::CreateMemberSet(
       _fbb,
       buckets__,
+      total,
       members__,
       answer);
 }
--- a/src/wire/controlcodec.cpp
+++ b/src/wire/controlcodec.cpp
@@ -75,7 +75,7 @@
     });
     const auto profile = b.CreateSharedString(line.profile);
     const auto dataCentre = b.CreateSharedString(line.dataCentre);
-    return Wire::CreateSummaryLine(b, profile, dataCentre, counts, line.rejecting, static_cast<std::uint64_t>(line.lag.count()));
+    return Wire::CreateSummaryLine(b, profile, dataCentre, counts, line.rejecting, line.silent, static_cast<std::uint64_t>(line.lag.count()));
 }
 
 template<typename Table, typename Items>
@@ -104,7 +104,7 @@
     {
         const auto highWater = mark(v.highWater);
         const auto heard = mark(v.highestHeard);
-        return Wire::CreateDigest(b, v.nonce, v.answer, v.trusted, &highWater, &heard, v.hash, v.membersHash);
+        return Wire::CreateDigest(b, v.nonce, v.answer, v.trusted, &highWater, &heard, v.hash, v.membersHash, v.membersKnown, v.collecting);
     }
     Offset<Wire::RecordBuckets> operator()(const RecordBucketsBody &v) const
     {
@@ -142,7 +142,7 @@
     Offset<Wire::MemberSet> operator()(const MemberSetBody &v) const
     {
         const auto buckets = b.CreateVector(v.buckets);
-        return Wire::CreateMemberSet(b, buckets, list<Wire::Member>(b, v.members), v.answer);
+        return Wire::CreateMemberSet(b, buckets, v.total, list<Wire::Member>(b, v.members), v.answer);
     }
     Offset<Wire::ProbeRequest> operator()(const ProbeRequestBody &v) const
     {
@@ -237,7 +237,7 @@
 
 SummaryLine get(const Wire::SummaryLine *line)
 {
-    SummaryLine out{text(line->profile()), text(line->data_centre()), {}, line->rejecting(), duration(line->lag_ms())};
+    SummaryLine out{text(line->profile()), text(line->data_centre()), {}, line->rejecting(), line->silent(), duration(line->lag_ms())};
     const std::size_t n = countOf(line->counts(), MaxVersionCounts);
     for (flatbuffers::uoffset_t i = 0; i < n; ++i) {
         const auto *count = line->counts()->Get(i);
@@ -277,7 +277,15 @@
 }
 DigestBody get(const Wire::Digest *v)
 {
-    return {v->nonce(), v->answer(), v->trusted(), version(v->high_water()), version(v->highest_heard()), v->hash(), v->members_hash()};
+    return {v->nonce(),
+            v->answer(),
+            v->trusted(),
+            version(v->high_water()),
+            version(v->highest_heard()),
+            v->hash(),
+            v->members_hash(),
+            v->members_known(),
+            v->collecting()};
 }
 RecordBucketsBody get(const Wire::RecordBuckets *v)
 {
@@ -317,7 +325,7 @@
 }
 MemberSetBody get(const Wire::MemberSet *v)
 {
-    return {getNumbers(v->buckets()), getList<MemberEntry>(v->members(), MaxMembersPerMessage), v->answer()};
+    return {getNumbers(v->buckets()), v->total(), getList<MemberEntry>(v->members(), MaxMembersPerMessage), v->answer()};
 }
 ProbeRequestBody get(const Wire::ProbeRequest *v)
 {
