Admission: expected wait by the pace of each class; shed recovery kept in the limit

One average over all classes refused lookups for the times of bulk. The recovery by time after a shed was not part of the limit, so a second shed much later started from the old, lower one. The cold ramp was rounded up by a float error.

--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -47,7 +47,7 @@
         }
         const WaitingTicket waiting{ticket.requestClass, ticket.deadline, ticket.id};
         if (mayStart(now, ticket.requestClass) && !isBehindOthers(waiting)) {
-            m_running.emplace(ticket.id, ticket.requestClass);
+            start(ticket.id, ticket.requestClass);
             return {AdmissionResult::Verdict::Start, Reason::None, milliseconds(0)};
         }
         return queueOrRefuse(now, waiting);
@@ -57,10 +57,11 @@
     {
         m_lastTime = now;
         const auto inUse = static_cast<unsigned>(m_running.size());
-        if (m_running.erase(id) != 0 && targetShed) {
+        const auto requestClass = takeOut(id);
+        if (requestClass && targetShed) {
             m_limit.onShed(now, inUse);
-        } else if (service > Duration(0)) {
-            noteServiceTime(service);
+        } else if (requestClass && service > Duration(0)) {
+            noteServiceTime(*requestClass, service);
             m_limit.onSuccess(now);
         }
         return startWaiting(now);
@@ -99,9 +100,21 @@
         return {AdmissionResult::Verdict::Refuse, reason, retryAfter};
     }
 
-    std::size_t runningOf(RequestClass requestClass) const
+    void start(TicketId id, RequestClass requestClass)
     {
-        return static_cast<std::size_t>(std::count_if(m_running.begin(), m_running.end(), [&](const auto &entry) { return entry.second == requestClass; }));
+        m_running.emplace(id, requestClass);
+        ++m_runningOf[indexOf(requestClass)];
+    }
+
+    /// Takes a ticket out of the running ones and gives its class; nothing when it did not run.
+    std::optional<RequestClass> takeOut(TicketId id)
+    {
+        const auto node = m_running.extract(id);
+        if (node.empty()) {
+            return std::nullopt;
+        }
+        --m_runningOf[indexOf(node.mapped())];
+        return node.mapped();
     }
 
     std::size_t waitingOf(RequestClass requestClass) const
@@ -122,7 +135,8 @@
 
     bool mayStart(TimePoint now, RequestClass requestClass) const
     {
-        return m_running.size() < m_limit.limit(now) && (requestClass != RequestClass::Bulk || runningOf(requestClass) < slotsFor(now, requestClass));
+        return m_running.size() < m_limit.limit(now)
+            && (requestClass != RequestClass::Bulk || m_runningOf[indexOf(requestClass)] < slotsFor(now, requestClass));
     }
 
     /// True when a waiting ticket that could start goes before this one.
@@ -131,20 +145,35 @@
         return !m_waiting.empty() && *m_waiting.begin() < ticket;
     }
 
-    /// Mean time until a ticket at this place of the queue has a slot.
+    /// Slots that become free per second at the pace of what runs now; 0 when no pace is known.
+    double freeingRate(bool bulkOnly) const
+    {
+        double rate = 0;
+        for (std::size_t c = bulkOnly ? indexOf(RequestClass::Bulk) : 0; c < ClassCount; ++c) {
+            rate += m_serviceSeconds[c] > 0 ? static_cast<double>(m_runningOf[c]) / m_serviceSeconds[c] : 0;
+        }
+        return rate;
+    }
+
+    /// Mean time until a ticket at this place of the queue has a slot. Bulk waits for bulk alone while it is at its share.
     Duration expectedWait(TimePoint now, const WaitingTicket &ticket) const
     {
-        const auto ahead = static_cast<double>(std::distance(m_waiting.begin(), m_waiting.lower_bound(ticket)));
-        const auto slots = static_cast<double>(slotsFor(now, ticket.requestClass));
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>((ahead + 1) * m_serviceSeconds / slots));
+        const bool bulkOnly = ticket.requestClass == RequestClass::Bulk && m_running.size() < m_limit.limit(now);
+        const auto first = bulkOnly ? m_waiting.lower_bound({RequestClass::Bulk, TimePoint::min(), 0}) : m_waiting.begin();
+        const auto ahead = static_cast<double>(std::distance(first, m_waiting.lower_bound(ticket)));
+        return timeFor(ahead + 1, freeingRate(bulkOnly));
     }
 
     /// Time until all that waits now has had its slot.
-    milliseconds drainTime(TimePoint now) const
+    milliseconds drainTime() const
+    {
+        const auto drain = timeFor(static_cast<double>(m_waiting.size() + 1), freeingRate(false));
+        return std::max(ShortestRetryAfter, std::chrono::ceil<milliseconds>(drain));
+    }
+
+    static Duration timeFor(double slots, double rate)
     {
-        const auto waiting = static_cast<double>(m_waiting.size() + 1);
-        const double drainSeconds = waiting * m_serviceSeconds / m_limit.limit(now);
-        return std::max(ShortestRetryAfter, std::chrono::ceil<milliseconds>(std::chrono::duration<double>(drainSeconds)));
+        return rate > 0 ? std::chrono::duration_cast<Duration>(std::chrono::duration<double>(slots / rate)) : Duration(0);
     }
 
     AdmissionResult queueOrRefuse(TimePoint now, const WaitingTicket &ticket)
@@ -152,27 +181,28 @@
         const auto classQueue = std::max(1.0, std::floor(m_settings.queueLimit * QueueShare[indexOf(ticket.requestClass)]));
         const bool isBulk = ticket.requestClass == RequestClass::Bulk;
         if (isBulk && static_cast<double>(waitingOf(ticket.requestClass)) >= classQueue) {
-            return refusal(Reason::ClassLimit, drainTime(now));
+            return refusal(Reason::ClassLimit, drainTime());
         }
         if (m_waiting.size() >= m_settings.queueLimit || (!isBulk && static_cast<double>(m_waiting.size()) >= classQueue)) {
-            return refusal(Reason::QueueFull, drainTime(now));
+            return refusal(Reason::QueueFull, drainTime());
         }
-        if (now + expectedWait(now, ticket) + averageService() >= ticket.deadline) {
-            return refusal(Reason::WaitTooLong, drainTime(now));
+        if (now + expectedWait(now, ticket) + averageService(ticket.requestClass) >= ticket.deadline) {
+            return refusal(Reason::WaitTooLong, drainTime());
         }
         m_waiting.insert(ticket);
         return {AdmissionResult::Verdict::Wait, Reason::None, milliseconds(0)};
     }
 
-    Duration averageService() const
+    Duration averageService(RequestClass requestClass) const
     {
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceSeconds));
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_serviceSeconds[indexOf(requestClass)]));
     }
 
-    void noteServiceTime(Duration service)
+    void noteServiceTime(RequestClass requestClass, Duration service)
     {
+        auto &average = m_serviceSeconds[indexOf(requestClass)];
         const double sample = std::chrono::duration<double>(service).count();
-        m_serviceSeconds = m_serviceSeconds == 0 ? sample : (1 - NewSampleWeight) * m_serviceSeconds + NewSampleWeight * sample;
+        average = average == 0 ? sample : (1 - NewSampleWeight) * average + NewSampleWeight * sample;
     }
 
     /// Refuses those whose deadline passed, then starts in order those whose class has room.
@@ -182,10 +212,10 @@
         AdmissionChanges changes;
         for (auto it = m_waiting.begin(); it != m_waiting.end();) {
             if (now >= it->deadline) {
-                changes.refused.emplace_back(it->id, refusal(Reason::DeadlinePassed, drainTime(now)));
+                changes.refused.emplace_back(it->id, refusal(Reason::DeadlinePassed, drainTime()));
                 it = m_waiting.erase(it);
             } else if (mayStart(now, it->requestClass)) {
-                m_running.emplace(it->id, it->requestClass);
+                start(it->id, it->requestClass);
                 changes.started.push_back(it->id);
                 it = m_waiting.erase(it);
             } else {
@@ -199,7 +229,8 @@
     SlotLimit m_limit;
     std::map<TicketId, RequestClass> m_running;
     std::set<WaitingTicket> m_waiting;
-    double m_serviceSeconds = 0; ///< s; moving average
+    std::array<std::size_t, ClassCount> m_runningOf{}; ///< slots in use, by class
+    std::array<double, ClassCount> m_serviceSeconds{}; ///< s; moving average by class, 0 when not known
     TimePoint m_lastTime;
 };
 
--- a/src/request/slotlimit.cpp
+++ b/src/request/slotlimit.cpp
@@ -1,7 +1,6 @@
 #include "request/slotlimit.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Fescuenotch {
 
@@ -38,13 +37,21 @@
     if (now - m_lastShed < ShedPause) {
         return;
     }
+    m_shedLimit = std::max(1.0, ShedFactor * std::min<double>(inUse, recoveredLimit(now)));
+    m_recoveredAt = now;
     m_lastShed = now;
-    m_shedLimit = std::max(1.0, ShedFactor * std::min<double>(inUse, m_shedLimit));
 }
 
-void SlotLimit::onSuccess(TimePoint)
+void SlotLimit::onSuccess(TimePoint now)
 {
-    m_shedLimit = std::min<double>(m_slots, m_shedLimit + 1 / m_shedLimit);
+    m_shedLimit = std::min<double>(m_slots, recoveredLimit(now) + 1 / m_shedLimit);
+    m_recoveredAt = now;
+}
+
+double SlotLimit::recoveredLimit(TimePoint now) const
+{
+    const double passed = std::chrono::duration<double>(now - m_recoveredAt).count();
+    return std::min<double>(m_slots, m_shedLimit + RecoveryPerSecond * std::max(0.0, passed));
 }
 
 double SlotLimit::coldShare(TimePoint now) const
@@ -58,10 +65,9 @@
 
 unsigned SlotLimit::limit(TimePoint now) const
 {
-    const double sinceShed = std::chrono::duration<double>(now - m_lastShed).count();
-    const double shed = std::min<double>(m_slots, m_shedLimit + RecoveryPerSecond * std::max(0.0, sinceShed));
-    const double allowed = std::min(shed, std::ceil(m_slots * coldShare(now)));
-    return std::max(1U, static_cast<unsigned>(allowed));
+    constexpr double Rounding = 1e-6; ///< slots
+    const double allowed = std::min(recoveredLimit(now), m_slots * coldShare(now));
+    return std::max(1U, static_cast<unsigned>(allowed + Rounding));
 }
 
 } // namespace Fescuenotch
--- a/src/request/slotlimit.h
+++ b/src/request/slotlimit.h
@@ -22,11 +22,13 @@
 
 private:
     double coldShare(TimePoint now) const;
+    double recoveredLimit(TimePoint now) const; ///< slots; m_shedLimit with what came back since
 
     unsigned m_slots;
     Duration m_slowStart;
     std::optional<TimePoint> m_coldSince;
     double m_shedLimit; ///< slots; at most m_slots
+    TimePoint m_recoveredAt; ///< up to when the recovery is part of m_shedLimit
     TimePoint m_lastShed;
 };
 
