--- a/src/node/exitexchange.cpp
+++ b/src/node/exitexchange.cpp
@@ -92,6 +92,16 @@
     return stopReason() != Reason::None;
 }
 
+/// The client says "cancelled" whenever `cancelled` stopped it; the deadline is told apart here.
+Reason ExitExchange::reasonOf(const TargetResult &result, Reason otherwise) const
+{
+    const auto stop = stopReason();
+    if (result.reason == Reason::Cancelled && stop != Reason::None) {
+        return stop;
+    }
+    return result.reason == Reason::None ? otherwise : result.reason;
+}
+
 AttemptEnd ExitExchange::conclude(const TargetResult &result) const
 {
     AttemptEnd end;
@@ -102,13 +112,13 @@
         end.reason = Reason::TargetShed;
     } else if (!result.sent) {
         end.outcome = Outcome::NotRun;
-        end.reason = m_stopped != Reason::None ? m_stopped : result.reason == Reason::None ? Reason::ConnectFailed : result.reason;
+        end.reason = m_stopped != Reason::None ? m_stopped : reasonOf(result, Reason::ConnectFailed);
     } else if (result.complete) {
         end.outcome = Outcome::Ran;
         end.complete = true;
     } else {
         end.outcome = Outcome::Unknown;
-        end.reason = result.reason == Reason::None ? Reason::TargetBroke : result.reason;
+        end.reason = reasonOf(result, Reason::TargetBroke);
     }
     return end;
 }
--- a/src/node/exitexchange.h
+++ b/src/node/exitexchange.h
@@ -34,6 +34,7 @@
 
 private:
     Reason stopReason() const;
+    Reason reasonOf(const TargetResult &result, Reason otherwise) const;
 
     InboundAttempt &m_attempt;
     std::function<TargetLoad()> m_load;
