--- a/src/node/entrycore.cpp
+++ b/src/node/entrycore.cpp
@@ -1,6 +1,6 @@
 #include "node/entrycore.h"
 
-#include "node/headernames.h"
+#include "request/trace.h"
 
 #include <xxhash.h>
 
@@ -31,11 +31,12 @@
     chooser.dataCentre = parts.settings->dataCentre;
     RetrySettings retries;
     std::uint64_t seed = m_nodeHash;
-    for (auto &shard : m_shards) {
+    const auto trace = openTrace(parts.settings->traceFile);
+    for (std::size_t n = 0; n < ShardCount; ++n) {
         chooser.seed = ++seed;
         retries.seed = ++seed;
-        shard.chooser = makeTargetChooser(chooser);
-        shard.retries = makeRetryPolicy(retries);
+        m_shards[n].chooser = makeTracedChooser(chooser, trace, "chooser-" + std::to_string(n));
+        m_shards[n].retries = makeTracedRetryPolicy(retries, trace, "retry-" + std::to_string(n));
     }
 }
 
--- a/src/node/exitcore.cpp
+++ b/src/node/exitcore.cpp
@@ -1,6 +1,7 @@
 #include "node/exitcore.h"
 
 #include "node/exitexchange.h"
+#include "request/trace.h"
 
 #include <algorithm>
 
@@ -117,7 +118,7 @@
         if (!m_admission) {
             AdmissionSettings settings;
             settings.slots = usableSlots(target);
-            m_admission = makeAdmission(settings);
+            m_admission = makeTracedAdmission(settings, openTrace(m_parts.settings->traceFile), "admission");
         }
         if (isNewTarget) {
             m_admission->onCold(now);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -110,12 +110,8 @@
     entryParts.inForce = &inForce;
     entryParts.peers = peers.get();
     entryParts.incarnation = context.incarnation;
-    entryParts.viewTrusted = [this] {
-        return spread->viewTrusted();
-    };
-    entryParts.peerOf = [this](const std::string &host) {
-        return spread->peerOf(host);
-    };
+    entryParts.viewTrusted = [this] { return spread->viewTrusted(); };
+    entryParts.peerOf = [this](const std::string &host) { return spread->peerOf(host); };
     entry = makeEntryHandler(entryParts);
 
     SpreadParts spreadParts;
@@ -126,30 +122,18 @@
     spreadParts.peers = peers.get();
     spreadParts.inForce = &inForce;
     spreadParts.incarnation = context.incarnation;
-    spreadParts.onTarget = [this](const TargetEntry &entryOfTarget) {
-        exit->configure(entryOfTarget);
-    };
-    spreadParts.onLeaving = [this](const std::string &host) {
-        entry->onLeaving(host);
-    };
-    spreadParts.onAlive = [this](const std::string &host) {
-        entry->onAlive(host);
-    };
-    spreadParts.onWake = [this](TimePoint now) {
-        exit->onWake(now);
-    };
+    spreadParts.onTarget = [this](const TargetEntry &entryOfTarget) { exit->configure(entryOfTarget); };
+    spreadParts.onLeaving = [this](const std::string &host) { entry->onLeaving(host); };
+    spreadParts.onAlive = [this](const std::string &host) { entry->onAlive(host); };
+    spreadParts.onWake = [this](TimePoint now) { exit->onWake(now); };
     spread = makeSpreadDriver(spreadParts);
 
     StatusParts statusParts;
     statusParts.settings = &settings;
     statusParts.metrics = metrics.get();
     statusParts.spread = spread.get();
-    statusParts.leaving = [this] {
-        return leaving.load();
-    };
-    statusParts.inFlight = [this] {
-        return inFlight();
-    };
+    statusParts.leaving = [this] { return leaving.load(); };
+    statusParts.inFlight = [this] { return inFlight(); };
     statusParts.incarnation = context.incarnation;
     pages = makeStatusPages(statusParts);
 }
@@ -179,7 +163,10 @@
     p.makeHandlers();
     BOOST_LEAF_CHECK(p.listen());
     p.spread->start();
-    logEvent(LogLevel::Info, "node_started").with("data_centre", p.settings.dataCentre).with("service", p.settings.service).with("incarnation", p.context.incarnation);
+    logEvent(LogLevel::Info, "node_started")
+        .with("data_centre", p.settings.dataCentre)
+        .with("service", p.settings.service)
+        .with("incarnation", p.context.incarnation);
     return {};
 }
 
