--- a/src/node/answercollector.cpp
+++ b/src/node/answercollector.cpp
@@ -12,10 +12,11 @@
 class Collector
 {
 public:
-    Collector(TrackedAttempt &attempt, const RequestPlan &plan, const std::function<bool()> &callerLeft)
+    Collector(TrackedAttempt &attempt, const RequestPlan &plan, const std::function<bool()> &callerLeft, TimePoint patience)
         : m_attempt(attempt)
         , m_plan(plan)
         , m_callerLeft(callerLeft)
+        , m_patience(patience)
     {
     }
 
@@ -25,6 +26,8 @@
             const auto now = Clock::now();
             if (now >= m_plan.deadline) {
                 fail(m_attempt.cancel(Reason::DeadlinePassed));
+            } else if (now >= m_patience && !m_headSeen) {
+                end(CollectedAnswer::Kind::Slow);
             } else {
                 take(m_attempt.wait(std::min(m_plan.deadline, now + CallerPollPeriod)));
             }
@@ -89,6 +92,7 @@
     TrackedAttempt &m_attempt;
     const RequestPlan &m_plan;
     const std::function<bool()> &m_callerLeft;
+    TimePoint m_patience;
     CollectedAnswer m_answer;
     bool m_headSeen = false;
     bool m_done = false;
@@ -96,9 +100,9 @@
 
 } // namespace
 
-CollectedAnswer collectAnswer(TrackedAttempt &attempt, const RequestPlan &plan, const std::function<bool()> &callerLeft)
+CollectedAnswer collectAnswer(TrackedAttempt &attempt, const RequestPlan &plan, const std::function<bool()> &callerLeft, TimePoint patience)
 {
-    return Collector(attempt, plan, callerLeft).run();
+    return Collector(attempt, plan, callerLeft, patience).run();
 }
 
 bool isWholeBody(const RequestPlan &plan, const AnswerHead &head, std::uint64_t size)
--- a/src/node/answercollector.h
+++ b/src/node/answercollector.h
@@ -2,6 +2,9 @@
 //
 // An answer of up to 64 KiB is collected whole, so that its outcome is known before the first byte goes out; a longer
 // one is handed on as soon as that much is there.
+//
+// Slow comes back when `patience` has passed without a head: the attempt still runs, and the owner either drops it for
+// another one or collects on.
 #pragma once
 
 #include "node/trackedattempt.h"
@@ -11,14 +14,14 @@
 namespace Fescuenotch {
 
 struct CollectedAnswer {
-    enum class Kind { Whole, Partial, Failed } kind = Kind::Failed;
+    enum class Kind { Whole, Partial, Slow, Failed } kind = Kind::Failed;
     AnswerHead head; ///< for Whole and Partial
     std::string body; ///< all of it for Whole, its start for Partial
     AttemptResult result; ///< for Failed
 };
 
 /// Blocks until the answer is there, the attempt has failed, the deadline has passed or the caller has left.
-CollectedAnswer collectAnswer(TrackedAttempt &attempt, const RequestPlan &plan, const std::function<bool()> &callerLeft);
+CollectedAnswer collectAnswer(TrackedAttempt &attempt, const RequestPlan &plan, const std::function<bool()> &callerLeft, TimePoint patience = TimePoint::max());
 
 /// True when `size` is all of the body that this head announces.
 bool isWholeBody(const RequestPlan &plan, const AnswerHead &head, std::uint64_t size);
--- a/src/node/entrysession.cpp
+++ b/src/node/entrysession.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t KeptBodyBytes = 256 * 1024; ///< bytes; longer bodies are streamed to one attempt
 constexpr milliseconds LongestTrustWait{250}; ///< after a pause of this node
 constexpr milliseconds PollPeriod{5};
+constexpr milliseconds LeastPatience{50}; ///< with an attempt, before another one is made
 constexpr unsigned DeepestCall = 64; ///< a call tree deeper than this is taken for a loop
 
 unsigned statusOf(const Refusal &refusal)
@@ -198,7 +199,33 @@
     if (m_streamOpen) {
         m_attempt->finishBody();
     }
-    return collectAnswer(*m_attempt, *m_plan, callerLeft);
+    auto collected = collectAnswer(*m_attempt, *m_plan, callerLeft, patience());
+    return collected.kind == CollectedAnswer::Kind::Slow ? handleSlow(callerLeft) : std::move(collected);
+}
+
+TimePoint EntrySession::patience() const
+{
+    if (!m_plan->rule.idempotent || m_state.attempts + 1 >= m_plan->rule.maxAttempts) {
+        return TimePoint::max();
+    }
+    const auto now = Clock::now();
+    return now + std::max<Duration>((m_plan->deadline - now) / 2, LeastPatience);
+}
+
+CollectedAnswer EntrySession::handleSlow(const std::function<bool()> &callerLeft)
+{
+    AttemptResult slow;
+    slow.reason = Reason::DeadlinePassed;
+    auto state = m_state;
+    const auto decision = m_core->afterFailure(*m_plan, slow, state);
+    if (!decision.retry) {
+        return collectAnswer(*m_attempt, *m_plan, callerLeft);
+    }
+    m_state = state;
+    m_earlyDecision = decision;
+    CollectedAnswer failed;
+    failed.result = m_attempt->finish(slow);
+    return failed;
 }
 
 CallerResponse EntrySession::runAttempts(const std::function<bool()> &callerLeft)
@@ -212,7 +239,8 @@
             return answer(std::move(collected));
         }
         const auto &result = collected.result;
-        const auto decision = m_core->afterFailure(*m_plan, result, m_state);
+        const auto decision = m_earlyDecision ? *m_earlyDecision : m_core->afterFailure(*m_plan, result, m_state);
+        m_earlyDecision.reset();
         if (!decision.retry) {
             const auto reason = result.reason == Reason::None ? decision.reason : result.reason;
             return refusalAnswer({decision.outcome, reason, decision.retryAfter});
--- a/src/node/entrysession.h
+++ b/src/node/entrysession.h
@@ -30,6 +30,9 @@
     bool startStreaming();
     CallerResponse runAttempts(const std::function<bool()> &callerLeft);
     CollectedAnswer runAttempt(const std::function<bool()> &callerLeft);
+    /// Half of the time that remains, for idempotent requests with attempts left; a silent target then costs only that.
+    TimePoint patience() const;
+    CollectedAnswer handleSlow(const std::function<bool()> &callerLeft);
     /// Waits before a retry. False when the caller left.
     bool pause(Duration delay, const std::function<bool()> &callerLeft) const;
     CallerResponse answer(CollectedAnswer collected);
@@ -46,6 +49,7 @@
     bool m_streaming = false;
     bool m_streamOpen = true; ///< the attempt still takes body
     RetryState m_state;
+    std::optional<RetryDecision> m_earlyDecision; ///< to retry, taken while the last attempt was still running
     std::vector<std::string> m_tried; ///< hosts
 };
 
--- a/src/node/exitcore.cpp
+++ b/src/node/exitcore.cpp
@@ -220,15 +220,16 @@
     const auto result = m_parts.target->exchange(exchange.request(address), exchange);
     const auto now = Clock::now();
     auto conclusion = exchange.conclude(result);
-    const bool ran = conclusion.outcome == Outcome::Ran;
-    if (ran) {
+    // An exchange cut at its deadline took at least so long; without these the mean would be told too short.
+    const bool isSample = conclusion.outcome == Outcome::Ran || (result.sent && conclusion.reason == Reason::DeadlinePassed);
+    if (isSample) {
         m_metrics.onExchange(job.attempt->head().requestClass, now - started);
     }
     Refused refused;
     {
         const std::lock_guard lock(m_mutex);
         noteTargetLocked(now, result, exchange.targetDrains());
-        refused = applyLocked(m_admission->finished(now, job.ticket, ran ? now - started : Duration(0), exchange.targetShed()));
+        refused = applyLocked(m_admission->finished(now, job.ticket, isSample ? now - started : Duration(0), exchange.targetShed()));
         conclusion.load = loadLocked(now);
     }
     end(*job.attempt, conclusion);
--- a/src/node/spreaddriver.cpp
+++ b/src/node/spreaddriver.cpp
@@ -28,9 +28,7 @@
 public:
     explicit AskingThread(std::function<void()> ask)
         : m_ask(std::move(ask))
-        , m_thread([this] {
-            run();
-        })
+        , m_thread([this] { run(); })
     {
     }
 
@@ -66,9 +64,7 @@
     {
         std::unique_lock lock(m_mutex);
         while (true) {
-            m_changed.wait(lock, [this] {
-                return m_stopped || m_wanted;
-            });
+            m_changed.wait(lock, [this] { return m_stopped || m_wanted; });
             if (m_stopped) {
                 return;
             }
@@ -172,32 +168,20 @@
 
     void start() override
     {
-        m_configThread = std::make_unique<AskingThread>([this] {
-            askConfig();
-        });
-        m_hostThread = std::make_unique<AskingThread>([this] {
-            askHosts();
-        });
-        m_parts.timers->onLateWake(LateWakeThreshold, [this](TimePoint now, Duration lateness) {
-            onWake(now, lateness);
-        });
-        m_tick = m_parts.timers->every(TickPeriod, [this](TimePoint now) {
-            onTick(now);
-        });
+        m_configThread = std::make_unique<AskingThread>([this] { askConfig(); });
+        m_hostThread = std::make_unique<AskingThread>([this] { askHosts(); });
+        m_parts.timers->onLateWake(LateWakeThreshold, [this](TimePoint now, Duration lateness) { onWake(now, lateness); });
+        m_tick = m_parts.timers->every(TickPeriod, [this](TimePoint now) { onTick(now); });
     }
 
     void onControl(const std::string &bytes) override
     {
-        event([&](TimePoint now) {
-            return m_core->onMessage(now, bytes);
-        });
+        event([&](TimePoint now) { return m_core->onMessage(now, bytes); });
     }
 
     void onPeerLost(const Endpoint &peer) override
     {
-        event([&](TimePoint now) {
-            return m_core->onPeerLost(now, peer);
-        });
+        event([&](TimePoint now) { return m_core->onPeerLost(now, peer); });
     }
 
     void onPeerLeaving(const Endpoint &peer) override
@@ -213,9 +197,7 @@
 
     void leave() override
     {
-        event([&](TimePoint now) {
-            return m_core->leave(now);
-        });
+        event([&](TimePoint now) { return m_core->leave(now); });
     }
 
     void stop() override
@@ -274,9 +256,7 @@
     void onTick(TimePoint now)
     {
         m_lastTick = now;
-        event([&](TimePoint at) {
-            return m_core->onTick(at);
-        });
+        event([&](TimePoint at) { return m_core->onTick(at); });
         if (now >= m_nextMembers) {
             m_nextMembers = now + MembersPeriod;
             refreshPeers();
@@ -292,9 +272,7 @@
         if (m_parts.onWake) {
             m_parts.onWake(now);
         }
-        event([&](TimePoint at) {
-            return m_core->onWake(at, lateness);
-        });
+        event([&](TimePoint at) { return m_core->onWake(at, lateness); });
     }
 
     void askConfig()
@@ -307,32 +285,24 @@
             wait = m_watchWait;
         }
         m_counters.configCalls.add();
-        auto answer = valueOrError([&] {
-            return m_parts.platform->watchConfig(after, wait);
-        });
+        auto answer = valueOrError([&] { return m_parts.platform->watchConfig(after, wait); });
         if (const auto *error = std::get_if<Error>(&answer)) {
             onPlatformError(*error, m_counters.configErrors);
             return;
         }
         std::get<0>(answer).after = after;
-        event([&](TimePoint now) {
-            return m_core->onConfigPage(now, std::get<0>(answer));
-        });
+        event([&](TimePoint now) { return m_core->onConfigPage(now, std::get<0>(answer)); });
     }
 
     void askHosts()
     {
         m_counters.hostCalls.add();
-        const auto answer = valueOrError([&] {
-            return m_parts.platform->hosts();
-        });
+        const auto answer = valueOrError([&] { return m_parts.platform->hosts(); });
         if (const auto *error = std::get_if<Error>(&answer)) {
             onPlatformError(*error, m_counters.hostErrors);
             return;
         }
-        event([&](TimePoint now) {
-            return m_core->onHostList(now, std::get<0>(answer));
-        });
+        event([&](TimePoint now) { return m_core->onHostList(now, std::get<0>(answer)); });
         refreshPeers();
     }
 
@@ -343,9 +313,7 @@
         }
         counter.add();
         logEvent(LogLevel::Debug, "platform_call_failed").with(error);
-        event([&](TimePoint now) {
-            return m_core->onPlatformError(now, error);
-        });
+        event([&](TimePoint now) { return m_core->onPlatformError(now, error); });
     }
 
     // ---- [actions]
@@ -478,22 +446,20 @@
         m_counters.swaps.add();
         if (next == nullptr) {
             logEvent(LogLevel::Info, "profile_withdrawn");
-            event([&](TimePoint now) {
-                return m_core->onInForce(now, "", Version{});
-            });
+            event([&](TimePoint now) { return m_core->onInForce(now, "", Version{}); });
             return;
         }
-        logEvent(LogLevel::Info, "profile_in_force").with("profile", next->profileName).with("epoch", next->version.epoch).with("revision", next->version.revision);
-        event([&](TimePoint now) {
-            return m_core->onInForce(now, next->profileName, next->version);
-        });
+        logEvent(LogLevel::Info, "profile_in_force")
+            .with("profile", next->profileName)
+            .with("epoch", next->version.epoch)
+            .with("revision", next->version.revision);
+        event([&](TimePoint now) { return m_core->onInForce(now, next->profileName, next->version); });
     }
 
     void tellTarget(const Service &service)
     {
-        const auto it = std::find_if(service.targets.begin(), service.targets.end(), [this](const TargetEntry &target) {
-            return target.host == m_parts.settings->host;
-        });
+        const auto it
+            = std::find_if(service.targets.begin(), service.targets.end(), [this](const TargetEntry &target) { return target.host == m_parts.settings->host; });
         if (it != service.targets.end() && m_parts.onTarget) {
             m_parts.onTarget(*it);
         }
--- a/tests/node/entryhandler_test.cpp
+++ b/tests/node/entryhandler_test.cpp
@@ -177,6 +177,41 @@
     BOOST_TEST(headerOf(response, "Fescuenotch-Outcome") == "unknown");
 }
 
+BOOST_AUTO_TEST_CASE(read_exitIsSilent_isTriedElsewhereInsideTheDeadline)
+{
+    addTarget("127.23.0.11");
+    addTarget("127.23.0.12");
+    std::vector<std::shared_ptr<LoopStream>> silent;
+    for (auto &[host, exit] : transport.exits) {
+        exit = [&silent, handle = exit](const std::shared_ptr<LoopStream> &stream) {
+            if (silent.empty()) {
+                silent.push_back(stream);
+            } else {
+                handle(stream);
+            }
+        };
+    }
+    const auto response = call("GET", "/slots", "", {{"Fescuenotch-Deadline-Ms", "400"}});
+    BOOST_TEST(response.status == 200U);
+    BOOST_REQUIRE(silent.size() == 1U);
+    BOOST_TEST(silent.front()->cancelled());
+}
+
+BOOST_AUTO_TEST_CASE(reads_alwaysSlowerThanPatience_areWaitedForOnceTheBudgetIsEmpty)
+{
+    // The budget always allows 10 retries in 10 s; the first 10 attempts may be cut, those after them may not.
+    addTarget("127.23.0.11").target.script = [](const TargetRequest &, TargetSink &sink) {
+        std::this_thread::sleep_for(milliseconds(130));
+        return answerWith(sink, 200, {}, "slow");
+    };
+    for (int n = 0; n < 10; ++n) {
+        call("GET", "/slots", "", {{"Fescuenotch-Deadline-Ms", "200"}});
+    }
+    for (int n = 0; n < 3; ++n) {
+        BOOST_TEST(call("GET", "/slots", "", {{"Fescuenotch-Deadline-Ms", "400"}}).status == 200U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(write_deadlinePassesAtSilentExit_isUnknownIn504)
 {
     addTarget("127.23.0.11");
