--- a/standins/httpclient.cpp
+++ b/standins/httpclient.cpp
@@ -53,6 +53,11 @@
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body->size()));
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body->data());
     }
+    // libcurl repeats a request by itself when a kept connection turns out closed; only a new one prevents that.
+    if (call.method == "POST") {
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+    }
     if (call.method == "HEAD") {
         curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
     } else {
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -135,9 +135,9 @@
     return false;
 }
 
-const ProcessCommand &ChildProcess::command() const
+std::size_t ChildProcess::logStart() const
 {
-    return m_command;
+    return m_logStart;
 }
 
 std::string buildFolder()
--- a/standins/process.h
+++ b/standins/process.h
@@ -37,7 +37,7 @@
     int exitCode() const;
     /// Waits until its log since this start has `text`. False when it ended or the time passed.
     bool waitForText(const std::string &text, milliseconds timeout);
-    const ProcessCommand &command() const;
+    std::size_t logStart() const; ///< bytes in the log before this start
 
 private:
     bool reap(bool block);
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -39,11 +39,6 @@
     return path.substr(path.rfind('/') + 1);
 }
 
-bool startsWith(const std::string &text, const char *prefix)
-{
-    return text.rfind(prefix, 0) == 0;
-}
-
 std::string headerOf(const ServerCall &call, const char *name)
 {
     const auto *value = findHeader(call.headers, name);
@@ -292,7 +287,7 @@
 ServerReply Target::makeAnswer(const ServerCall &call)
 {
     ServerReply reply;
-    if (startsWith(call.path, "/archive/")) {
+    if (call.path.find("/archive/") != std::string::npos) {
         reply = archive(call);
     } else {
         reply.body = tokenOf(call.path);
--- a/standins/target.h
+++ b/standins/target.h
@@ -1,6 +1,6 @@
 // The target stand-in: slots, service times, cold start, draining, shedding, and a journal of every start and finish.
 //
-// Paths: /echo/TOKEN gives TOKEN in the body; /run/TOKEN journals TOKEN and gives it back; /archive/BYTES gives that many
+// Paths, each after any prefix: /echo/TOKEN gives TOKEN in the body; /run/TOKEN journals TOKEN and gives it back; /archive/BYTES gives that many
 // bytes of fixed content with an ETag and ranges; /load and /health tell the load (or lie about it).
 // A request starts when it is there whole and has a slot; only then is it journalled as started.
 #pragma once
