--- a/tests/scenarios/fleet.cpp
+++ b/tests/scenarios/fleet.cpp
@@ -204,7 +204,7 @@
                                   "--operator-listen",
                                   host.ip + ":8081"};
     args.insert(args.end(), nodeFlags.begin(), nodeFlags.end());
-    launch(host.node, "fescuenotch", args, "event=");
+    launch(host.node, "fescuenotch", args, "event=node_started");
 }
 
 void Fleet::startLink(LinkEnd &link)
