--- a/src/plugins/callerconnection.cpp
+++ b/src/plugins/callerconnection.cpp
@@ -2,6 +2,7 @@
 #include "plugins/callerconnection.h"
 
 #include "plugins/directanswer.h"
+#include "plugins/headlayout.h"
 
 #include <poll.h>
 
@@ -25,10 +26,25 @@
 
 MHD_Result collectHeader(void *cls, MHD_ValueKind, const char *name, std::size_t nameSize, const char *value, std::size_t valueSize)
 {
-    static_cast<Headers *>(cls)->push_back({std::string(name, nameSize), value == nullptr ? std::string() : std::string(value, valueSize)});
+    static_cast<HeadLayout *>(cls)->headers.push_back({{name, nameSize}, value == nullptr ? std::string_view() : std::string_view(value, valueSize)});
     return MHD_YES;
 }
 
+std::string_view trimmedEnd(std::string_view text)
+{
+    const auto last = text.find_last_not_of(" \t");
+    return text.substr(0, last == std::string_view::npos ? 0 : last + 1);
+}
+
+RequestHead headOf(const HeadLayout &layout, const std::string &uri)
+{
+    RequestHead head{std::string(layout.method), uri, std::string(layout.version), {}, layout.headBytes, isStrictLayout(layout)};
+    for (const auto &header : layout.headers) {
+        head.headers.push_back({std::string(header.name), std::string(trimmedEnd(header.value))});
+    }
+    return head;
+}
+
 } // namespace
 
 // ---- [counters and shared state] --------------------------------------------------------------------------------
@@ -112,12 +128,12 @@
     return m_answered ? MHD_YES : onRequestRead();
 }
 
-MHD_Result CallerExchange::onHead(const char *, const char *method, const char *version)
+MHD_Result CallerExchange::onHead(const char *url, const char *method, const char *version)
 {
-    RequestHead head{method, m_uri, version, {}, 0};
-    MHD_get_connection_values_n(m_connection, MHD_HEADER_KIND, collectHeader, &head.headers);
-    head.headBytes = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)->header_size;
-    m_version = head.version;
+    HeadLayout layout{method, {url, m_uri.size()}, version, {}, 0};
+    MHD_get_connection_values_n(m_connection, MHD_HEADER_KIND, collectHeader, &layout);
+    layout.headBytes = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)->header_size;
+    auto head = headOf(layout, m_uri);
     if (m_shared.connections > m_shared.maxConnections) {
         return refuse(tooManyConnections());
     }
--- a/src/plugins/callerconnection.h
+++ b/src/plugins/callerconnection.h
@@ -87,13 +87,11 @@
     CallerConnection *m_socket = nullptr;
     CallerRequest m_request;
     std::string m_uri;
-    std::string m_version;
     std::uint64_t m_received = 0; ///< bytes of the request body
     bool m_headSeen = false;
     bool m_refused = false;
     bool m_answered = false; ///< an answer of ours was queued or written
     bool m_answerBroken = false;
-    bool m_closeAfter = false; ///< the caller asked for it or cannot keep the connection
     std::unique_ptr<CallerSession> m_session;
     std::unique_ptr<BodySource> m_answerBody; ///< ends before the session
 };
--- a/src/plugins/callerhttp.cpp
+++ b/src/plugins/callerhttp.cpp
@@ -102,8 +102,6 @@
                                 pool,
                                 MHD_OPTION_THREAD_STACK_SIZE,
                                 ThreadStackBytes,
-                                MHD_OPTION_STRICT_FOR_CLIENT,
-                                1,
                                 MHD_OPTION_URI_LOG_CALLBACK,
                                 onUri,
                                 this,
--- a/src/plugins/requestcheck.cpp
+++ b/src/plugins/requestcheck.cpp
@@ -91,6 +91,9 @@
     if (auto refusal = checkRequestLine(head)) {
         return refusal;
     }
+    if (!head.strictLayout) {
+        return badRequest("separate lines by CRLF and parts by one space, fold no header, and send no null byte");
+    }
     for (const auto &h : head.headers) {
         if (!isToken(h.name) || !std::all_of(h.value.begin(), h.value.end(), isValueByte)) {
             return badRequest("send header names as tokens, without space before the colon, and values without control characters");
--- a/src/plugins/requestcheck.h
+++ b/src/plugins/requestcheck.h
@@ -19,6 +19,7 @@
     std::string version; ///< "HTTP/1.1"
     Headers headers;
     std::size_t headBytes = 0; ///< bytes, as received
+    bool strictLayout = true; ///< false: the library has repaired it, see headlayout.h
 };
 
 struct RequestLimits {
