Caller server: the listening socket ends at once at a stop; Content-Length: 0 only where a method expects it

stopAccepting_requestInFlight failed once: closing a socket that another thread polls leaves it listening until the poll returns, so a caller could connect and be reset. Shutting it down first ends that.

--- a/src/plugins/callerhttp.cpp
+++ b/src/plugins/callerhttp.cpp
@@ -62,6 +62,7 @@
         m_quiesced = true;
         const int fd = MHD_quiesce_daemon(m_daemon);
         takeWaitingConnections(fd);
+        ::shutdown(fd, SHUT_RDWR); // the library may still poll it, and closing alone would leave it listening until then
         ::close(fd);
     }
 
--- a/src/plugins/targethttp.cpp
+++ b/src/plugins/targethttp.cpp
@@ -157,13 +157,19 @@
     return sameHeaderName(name, "Content-Length") || sameHeaderName(name, "Transfer-Encoding") || sameHeaderName(name, "Expect");
 }
 
+/// Methods whose requests tell a length even when there is no body (RFC 9110, 8.6).
+bool expectsLength(const std::string &method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
 void TargetExchange::setHeaders()
 {
     m_headerList.add("Expect:");
     if (findHeader(m_request.headers, "Accept") == nullptr) {
         m_headerList.add("Accept:");
     }
-    if (!m_request.hasBody && m_request.bodyLength == 0U && m_request.method != "HEAD") {
+    if (!m_request.hasBody && expectsLength(m_request.method)) {
         m_headerList.add("Content-Length: 0");
     }
     for (const auto &h : m_request.headers) {
--- a/tests/plugins/targethttp_test.cpp
+++ b/tests/plugins/targethttp_test.cpp
@@ -165,6 +165,17 @@
     BOOST_TEST((received[2] + received[3]).ends_with("\r\n\r\n5\r\nhello\r\n0\r\n\r\n"), received[2] + received[3]);
 }
 
+BOOST_AUTO_TEST_CASE(request_postWithoutBody_tellsItsLength)
+{
+    std::string received;
+    const RawServer target(TargetAddress, [&](RawSocket &socket, unsigned) {
+        received = socket.receiveUntil("\r\n\r\n");
+        socket.send(Ok);
+    });
+    BOOST_TEST(run(request("POST")).complete);
+    BOOST_TEST(received.find("Content-Length: 0\r\n") != std::string::npos, received);
+}
+
 BOOST_AUTO_TEST_CASE(answer_headWithoutBody_isComplete)
 {
     const std::string notModified = "HTTP/1.1 304 Not Modified\r\nETag: x\r\n\r\n";
