--- a/src/kernel/processmetrics.cpp
+++ b/src/kernel/processmetrics.cpp
@@ -53,7 +53,8 @@
     metrics.gauge("fescuenotch_process_resident_bytes", "Memory of this process in RAM.", {}, [] { return static_cast<double>(residentBytes()); });
     metrics.gauge("fescuenotch_process_cpu_seconds", "Processor time used since the start.", {}, [] { return processorSeconds(); });
     metrics.gauge("fescuenotch_process_threads", "Threads of this process.", {}, [] { return double(entriesOf("/proc/self/task")); });
-    metrics.gauge("fescuenotch_process_open_files", "File descriptors of this process, sockets included.", {}, [] { return double(entriesOf("/proc/self/fd")); });
+    metrics.gauge(
+        "fescuenotch_process_open_files", "File descriptors of this process, sockets included.", {}, [] { return double(entriesOf("/proc/self/fd")); });
 }
 
 } // namespace Fescuenotch
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/logging.h"
 #include "kernel/plugin.h"
+#include "kernel/processmetrics.h"
 #include "node/entryhandler.h"
 #include "node/exithandler.h"
 #include "node/spreaddriver.h"
@@ -175,6 +176,7 @@
 Result<void> Node::start()
 {
     auto &p = *m_parts;
+    registerProcessMetrics(*p.metrics);
     BOOST_LEAF_CHECK(p.makePlugins());
     p.makeHandlers();
     BOOST_LEAF_CHECK(p.listen());
--- a/src/plugins/callerconnection.cpp
+++ b/src/plugins/callerconnection.cpp
@@ -52,7 +52,8 @@
 CallerCounters::CallerCounters(MetricsRegistry &metrics)
     : requests(&metrics.counter("fescuenotch_caller_requests_total", "Requests of callers handed to routing."))
     , brokenAnswers(&metrics.counter("fescuenotch_caller_broken_answers_total", "Answers cut short, seen as such by the caller."))
-    , leftEarly(&metrics.counter("fescuenotch_caller_left_total", "Requests whose caller left or stalled before the whole answer was sent."))
+    , connectionsLost(
+          &metrics.counter("fescuenotch_caller_connections_lost_total", "Requests whose connection broke or stalled before the whole answer was sent."))
     , bytesIn(&metrics.counter("fescuenotch_caller_body_in_bytes_total", "Bytes of request bodies read from callers."))
     , bytesOut(&metrics.counter("fescuenotch_caller_body_out_bytes_total", "Bytes of answer bodies handed to callers."))
 {
@@ -207,8 +208,8 @@
         m_shared.counters.refusal("malformed").add();
     } else if (m_answerBroken) {
         m_shared.counters.brokenAnswers->add();
-    } else if (!whole && !m_refused && !m_answered) {
-        m_shared.counters.leftEarly->add();
+    } else if (!whole && !m_answeredDirectly) {
+        m_shared.counters.connectionsLost->add();
     }
 }
 
@@ -216,7 +217,6 @@
 
 MHD_Result CallerExchange::refuse(const RequestRefusal &refusal)
 {
-    m_refused = true;
     m_shared.counters.refusal(refusal.reason).add();
     logEvent(LogLevel::Info, "caller_refused").with("status", refusal.status).with("reason", refusal.reason).with("remedy", refusal.remedy);
     return answerAndClose(refusalResponse(refusal));
@@ -225,6 +225,7 @@
 MHD_Result CallerExchange::answerAndClose(CallerResponse response)
 {
     m_answered = true;
+    m_answeredDirectly = true;
     const auto stall = std::chrono::duration_cast<milliseconds>(m_shared.limits.stallLimit);
     writeDirectAnswer(m_socket->fd(), std::move(response), m_request.method == "HEAD", stall);
     return MHD_NO;
--- a/src/plugins/callerconnection.h
+++ b/src/plugins/callerconnection.h
@@ -22,7 +22,7 @@
     std::map<std::string, Counter *> refusals; ///< by reason
     Counter *requests;
     Counter *brokenAnswers;
-    Counter *leftEarly;
+    Counter *connectionsLost;
     Counter *bytesIn;
     Counter *bytesOut;
 };
@@ -89,9 +89,9 @@
     std::string m_uri;
     std::uint64_t m_received = 0; ///< bytes of the request body
     bool m_headSeen = false;
-    bool m_refused = false;
     bool m_answered = false; ///< an answer of ours was queued or written
-    bool m_answerBroken = false;
+    bool m_answeredDirectly = false; ///< written past the library
+    bool m_answerBroken = false; ///< its body ended too early
     std::unique_ptr<CallerSession> m_session;
     std::unique_ptr<BodySource> m_answerBody; ///< ends before the session
 };
--- a/tests/plugins/callerhttp_test.cpp
+++ b/tests/plugins/callerhttp_test.cpp
@@ -273,7 +273,7 @@
     socket.close();
     BOOST_TEST(waitUntil([&] { return handler.seen(0).ended; }));
     BOOST_TEST(!handler.seen(0).responded);
-    BOOST_TEST(waitUntil([&] { return metric("fescuenotch_caller_left_total") == "1"; }));
+    BOOST_TEST(waitUntil([&] { return metric("fescuenotch_caller_connections_lost_total") == "1"; }));
 }
 
 BOOST_FIXTURE_TEST_CASE(sender_stallsInHeadOrBody_isEnded, CallerFixture)
@@ -316,6 +316,7 @@
     socket.send("GET /body?size=1073741824 HTTP/1.1\r\nHost: a\r\n\r\n");
     BOOST_TEST(waitUntil([&] { return handler.count() == 1U; }));
     BOOST_TEST(waitUntil([&] { return handler.seen(0).ended; }, seconds(5)));
+    BOOST_TEST(waitUntil([&] { return metric("fescuenotch_caller_connections_lost_total") == "1"; }));
 }
 
 BOOST_FIXTURE_TEST_CASE(stopAccepting_requestInFlight_isAnsweredAndTheConnectionClosed, CallerFixture)
