--- a/tests/plugins/callerfixture.cpp
+++ b/tests/plugins/callerfixture.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t KeptBody = 65'536; ///< bytes of a request body kept by the handler
-constexpr std::uint64_t PieceBytes = 1'000;
+constexpr unsigned SlowUploadPieces = 64; ///< pieces that /slowupload takes between two pauses
 
 /// `total` bytes; breaks after `breakAt`.
 class CountedBody : public BodySource
@@ -41,6 +41,7 @@
     return at == std::string::npos ? otherwise : std::stoull(path.substr(at + name.size() + 1));
 }
 
+/// /slowupload: pauses while it reads. /early: wants no more after the first piece. /wait: until released.
 /// /body?size=N[&chunked=1][&break=N]: N bytes. Any other path: its own text.
 CallerResponse answerFor(const CallerRequest &request)
 {
@@ -76,8 +77,8 @@
 
     bool onBody(Bytes piece) override
     {
-        if (m_request.path.rfind("/slowupload", 0) == 0) {
-            std::this_thread::sleep_for(milliseconds(1));
+        if (m_request.path == "/slowupload" && ++m_pieces % SlowUploadPieces == 0) {
+            std::this_thread::sleep_for(milliseconds(5));
         }
         const std::lock_guard lock(m_handler.m_mutex);
         auto &seen = m_handler.m_seen[m_number];
@@ -101,6 +102,7 @@
     RecordingHandler &m_handler;
     std::size_t m_number;
     CallerRequest m_request;
+    unsigned m_pieces = 0;
 };
 
 std::unique_ptr<CallerSession> RecordingHandler::begin(const CallerRequest &request)
