--- a/src/spread/messages.h
+++ b/src/spread/messages.h
@@ -20,7 +20,7 @@
 constexpr std::size_t MaxKeysPerMessage = 512; ///< keys of a pull or of a version list
 constexpr std::size_t MaxMembersPerMessage = 64;
 constexpr std::size_t MaxNewsPerMessage = 4; ///< member entries that ride on any message
-constexpr std::size_t MaxSummaryLines = 32;
+constexpr std::size_t MaxSummaryLines = 16; ///< lines of one summary or beacon
 constexpr std::size_t MaxVersionCounts = 4; ///< distinct versions of one summary line
 constexpr std::size_t MaxTextBytes = 256; ///< a key or a name
 constexpr std::size_t MaxInlineValueBytes = 64 * 1024; ///< a larger value is announced and pulled in chunks
@@ -69,7 +69,9 @@
     Version highWater;
     Version highestHeard; ///< highest mark that the sender knows to exist
     std::uint64_t hash = 0; ///< over its records
-    std::uint64_t membersHash = 0; ///< over its live members
+    std::uint64_t membersHash = 0; ///< over its members that are not dead
+    bool membersKnown = false; ///< the sender knows the whole fleet, not only who spoke to it
+    bool collecting = false; ///< it holds changes that it will push soon; a steady peer need not compare yet
 };
 
 /// One 32 bit hash per bucket of keys; the answer is a RecordVersionsBody.
@@ -107,9 +109,11 @@
 struct MemberBucketsBody {
     std::vector<std::uint32_t> hashes;
 };
-/// Every live member of the listed buckets. The receiver gives back what the sender lacks, once.
+/// Every member of the listed buckets that is not dead; `total` buckets differ. The receiver gives back what the
+/// sender lacks, once.
 struct MemberSetBody {
     std::vector<std::uint8_t> buckets;
+    std::uint32_t total = 0;
     std::vector<MemberEntry> members;
     bool answer = false; ///< it answers another set; no further answer
 };
@@ -128,13 +132,16 @@
 struct VersionCount {
     Version version;
     std::uint32_t nodes = 0;
+    bool operator==(const VersionCount &) const = default;
 };
 struct SummaryLine {
     std::string profile;
     std::string dataCentre;
     std::vector<VersionCount> counts; ///< newest first
     std::uint32_t rejecting = 0; ///< nodes
-    milliseconds lag{0}; ///< ms
+    std::uint32_t silent = 0; ///< nodes; known by the first reader only
+    milliseconds lag{0}; ///< ms; known by the first reader only
+    bool operator==(const SummaryLine &) const = default;
 };
 
 /// A reader tells that it is at work, and up to which mark it has pushed.
--- a/src/spread/recordexchange.cpp
+++ b/src/spread/recordexchange.cpp
@@ -106,6 +106,11 @@
     return !due.empty();
 }
 
+bool RecordExchange::collecting() const
+{
+    return !m_plan.empty();
+}
+
 Version RecordExchange::pushedMark() const
 {
     return m_pushedMark;
@@ -152,13 +157,22 @@
     return to;
 }
 
-void RecordExchange::relay(const std::string &root, const std::vector<Record> &news)
+/// Passes on each version once.
+void RecordExchange::relay(const std::string &root, const std::vector<Record> &records)
 {
-    if (news.empty()) {
+    std::vector<Record> fresh;
+    for (const auto &record : records) {
+        auto &relayed = m_relayed[record.key];
+        if (record.version > relayed) {
+            relayed = record.version;
+            fresh.push_back(record);
+        }
+    }
+    if (fresh.empty()) {
         return;
     }
     const auto to = relayTargets(root);
-    for (const auto &body : batches(news, PushBody{root, {}, {}})) {
+    for (const auto &body : batches(fresh, PushBody{root, {}, {}})) {
         m_context.outbox.sendAll(to, body);
     }
 }
@@ -172,14 +186,38 @@
         m_plan.seen(record.key, record.version);
     }
     const auto news = m_context.store.apply(body.records);
-    relay(root, news);
+    relay(root, heldOf(body));
     want(now, {sender.host, sender.port}, root, body.announcements);
     return !news.empty();
 }
 
+/// The records of a push that this node holds at that very version, announced values included.
+std::vector<Record> RecordExchange::heldOf(const PushBody &body) const
+{
+    std::map<std::string, Version> pushed;
+    for (const auto &it : body.records) {
+        pushed[it.key] = it.version;
+    }
+    for (const auto &it : body.announcements) {
+        pushed[it.key] = it.version;
+    }
+    std::vector<Record> held;
+    for (const auto &[key, version] : pushed) {
+        for (const auto &record : m_context.store.records(key)) {
+            if (record.version == version) {
+                held.push_back(record);
+            }
+        }
+    }
+    return held;
+}
+
 bool RecordExchange::on(TimePoint now, const MemberEntry &sender, const RecordsBody &body, bool trusted)
 {
     const auto news = m_context.store.apply(body.records);
+    for (const auto &it : body.records) {
+        m_pulled.erase(it.key);
+    }
     want(now, {sender.host, sender.port}, {}, body.announcements);
     if (news.empty() || !trusted) {
         return !news.empty();
@@ -225,12 +263,14 @@
     return overdue;
 }
 
-void RecordExchange::compare(TimePoint now, const Endpoint &with)
+void RecordExchange::compare(TimePoint now, const Endpoint &with, bool trusted)
 {
     auto &comparison = m_comparisons[with.host];
-    if (now - comparison.at < ComparePause) {
+    const TimePoint last = trusted ? comparison.at : m_lastComparison;
+    if (now - last < ComparePause) {
         return;
     }
+    m_lastComparison = now;
     comparison = Comparison{now};
     m_context.outbox.send(with, RecordBucketsBody{recordBuckets(m_context.store.versions())});
 }
@@ -254,13 +294,14 @@
     m_context.outbox.send(to, answer);
 }
 
-bool RecordExchange::on(const MemberEntry &sender, const RecordVersionsBody &body)
+bool RecordExchange::on(TimePoint now, const MemberEntry &sender, const RecordVersionsBody &body)
 {
     const Endpoint peer{sender.host, sender.port};
     const auto held = keysOf(m_context.store.versions(), body.buckets);
     const auto pulled = lacking(held, body.keys);
-    if (!pulled.empty()) {
-        m_context.outbox.send(peer, PullBody{pulled});
+    const auto asked = notAskedFor(now, pulled);
+    if (!asked.empty()) {
+        m_context.outbox.send(peer, PullBody{asked});
     }
     std::vector<Record> given;
     for (const auto &key : lacking(body.keys, held)) {
@@ -274,6 +315,19 @@
     return comparison.buckets == body.total && !comparison.lacked;
 }
 
+/// Leaves out keys that another peer was asked for a moment ago.
+std::vector<std::string> RecordExchange::notAskedFor(TimePoint now, const std::vector<std::string> &keys)
+{
+    std::erase_if(m_pulled, [&](const auto &it) { return now - it.second >= PullPause; });
+    std::vector<std::string> left;
+    for (const auto &key : keys) {
+        if (m_pulled.try_emplace(key, now).second) {
+            left.push_back(key);
+        }
+    }
+    return left;
+}
+
 void RecordExchange::on(const MemberEntry &sender, const PullBody &body)
 {
     std::vector<Record> found;
