--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -78,7 +78,8 @@
                  "Usage: fescuenotch-bench EXPERIMENT [flags]\n"
                  "       fescuenotch-bench repeat N EXPERIMENT [flags]   run it N times and show the spread\n"
                  "       fescuenotch-bench compare A.jsonl B.jsonl       compare two result files\n"
-                 "       fescuenotch-bench report [--out FOLDER]         plots and index.html of all results\n\nExperiments (each has --help):\n");
+                 "       fescuenotch-bench report [--out FOLDER]         plots and index.html of all results\n"
+                 "       fescuenotch-bench list                          names of the experiments\n\nExperiments (each has --help):\n");
     for (const auto &factory : experimentFactories()) {
         const auto experiment = factory();
         std::fprintf(out, "  %-10s %s\n", experiment->name().c_str(), experiment->summary().c_str());
@@ -154,6 +155,14 @@
     return error ? failed(*error) : 0;
 }
 
+int runList()
+{
+    for (const auto &factory : experimentFactories()) {
+        std::printf("%s\n", factory()->name().c_str());
+    }
+    return 0;
+}
+
 int runReport(int argc, char **argv)
 {
     const char *folder = DefaultFolder;
@@ -190,5 +199,8 @@
     if (command == "report") {
         return runReport(argc - 1, argv + 1);
     }
+    if (command == "list") {
+        return runList();
+    }
     return runExperiment(1, argc - 1, argv + 1);
 }
