--- a/bench/spread_experiment.cpp
+++ b/bench/spread_experiment.cpp
@@ -246,7 +246,7 @@
         victim->process->signal(signal);
         victim->stopped = signal == SIGSTOP;
     }
-    const auto arrivals = waitFor(others, revision, start, ChangeLimit);
+    auto arrivals = waitFor(others, revision, start, ChangeLimit);
     std::this_thread::sleep_for(StopTime);
     BOOST_LEAF_AUTO(some, bringBack(victims, signal));
     back.add(some);
