--- a/src/spread/viewtrust.cpp
+++ b/src/spread/viewtrust.cpp
@@ -133,9 +133,4 @@
     return m_highest;
 }
 
-bool ViewTrust::usable(const std::string &host) const
-{
-    return m_trustedPeers.contains(host);
-}
-
 } // namespace Fescuenotch
--- a/src/spread/viewtrust.h
+++ b/src/spread/viewtrust.h
@@ -46,8 +46,6 @@
     /// Time to ask another round of peers.
     bool asks(TimePoint now);
     Version highestHeard() const;
-    /// True when that peer may bring this node up to date.
-    bool usable(const std::string &host) const;
 
 private:
     bool startIsOver(Duration waited, Version held, std::size_t peers) const;
--- a/tests/spread/failures_test.cpp
+++ b/tests/spread/failures_test.cpp
@@ -4,6 +4,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <random>
+
 using namespace Fescuenotch;
 
 namespace {
@@ -191,6 +194,46 @@
     BOOST_TEST(fleet.reaches(fleet.publish(Key, "v2")));
 }
 
+BOOST_DATA_TEST_CASE(fifthOfNodes_frozenMidSpread_restHoldsWithinTarget, boost::unit_test::data::xrange(1, 11), seed)
+{
+    TwoCentres fleet(static_cast<std::uint64_t>(seed));
+    const auto version = fleet.publish(Key, "v2");
+    std::vector<std::string> left = fleet.hosts();
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    std::shuffle(left.begin(), left.end(), random);
+    for (unsigned i = 0; i < 3; ++i) {
+        fleet.pause(left.back());
+        left.pop_back();
+    }
+    BOOST_TEST(fleet.reaches(version, left));
+}
+
+BOOST_AUTO_TEST_CASE(linksOfAReader_silent_othersRepair)
+{
+    TwoCentres fleet;
+    const auto reader = fleet.readersNow().front();
+    for (const auto &host : fleet.first) {
+        fleet.silence(reader, host);
+    }
+    BOOST_TEST(fleet.reaches(fleet.publish(Key, "v2")));
+}
+
+BOOST_DATA_TEST_CASE(herd_platformDownAndOneSurvivor_comesBackFromIt, boost::unit_test::data::xrange(1, 6), seed)
+{
+    TwoCentres fleet(static_cast<std::uint64_t>(seed));
+    const auto kept = fleet.first.back();
+    for (const auto &host : fleet.hosts()) {
+        if (host != kept) {
+            fleet.kill(host);
+        }
+    }
+    fleet.platformDown = true;
+    fleet.run(seconds(2));
+    fleet.startAll();
+    BOOST_TEST(fleet.reaches(Version{1, 1}));
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allTrusted(); }, seconds(2)));
+}
+
 BOOST_AUTO_TEST_CASE(readersKilledAndPlatformCut_together_catchesUpOnHeal)
 {
     TwoCentres fleet;
--- a/tests/spread/fleet.cpp
+++ b/tests/spread/fleet.cpp
@@ -107,6 +107,11 @@
     }
 }
 
+void Fleet::silence(const std::string &a, const std::string &b)
+{
+    m_silent.insert(std::minmax(a, b));
+}
+
 Version Fleet::publish(const std::string &key, const std::string &value)
 {
     const Version version{1, ++m_revision};
@@ -121,7 +126,7 @@
 
 bool Fleet::connected(const std::string &a, const std::string &b) const
 {
-    return !m_cuts.contains(std::minmax(centreOf(a), centreOf(b)));
+    return !m_cuts.contains(std::minmax(centreOf(a), centreOf(b))) && !m_silent.contains(std::minmax(a, b));
 }
 
 void Fleet::carryOut(Node &node, SpreadActions actions)
--- a/tests/spread/fleet.h
+++ b/tests/spread/fleet.h
@@ -34,6 +34,8 @@
     void unlist(const std::string &host);
     /// Whether data centres `a` and `b` reach each other; 0 is the platform.
     void cut(unsigned a, unsigned b, bool broken = true);
+    /// The link between two hosts loses everything from now on, and tells neither.
+    void silence(const std::string &a, const std::string &b);
 
     Version publish(const std::string &key, const std::string &value);
     /// The platform answers as it was at `revision`; 0: as it is.
@@ -105,6 +107,7 @@
     HostList m_list;
     std::map<std::string, std::unique_ptr<Node>> m_nodes;
     std::set<std::pair<unsigned, unsigned>> m_cuts;
+    std::set<std::pair<std::string, std::string>> m_silent;
     std::vector<Message> m_messages;
 };
 
