--- a/src/spread/memberexchange.h
+++ b/src/spread/memberexchange.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Fescuenotch {
@@ -78,7 +79,10 @@
     struct NewsTree {
         std::string root; ///< empty: not passed on
         bool origin = false;
-        auto operator<=>(const NewsTree &) const = default;
+        bool operator<(const NewsTree &other) const
+        {
+            return std::tie(root, origin) < std::tie(other.root, other.origin);
+        }
     };
 
     NewsTree ownTree() const;
--- a/src/spread/recordexchange.cpp
+++ b/src/spread/recordexchange.cpp
@@ -5,12 +5,13 @@
 #include "spread/tree.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace Fescuenotch {
 namespace {
 
-const std::string ProfilePrefix = "profile/";
-const std::string ServicePrefix = "service/";
+constexpr std::string_view ProfilePrefix = "profile/";
+constexpr std::string_view ServicePrefix = "service/";
 constexpr int BytesWindowShare = 3; ///< changes are collected for this part of the spread target
 constexpr std::size_t MaxBackupRank = 5; ///< lower ranks wait no longer than this one
 constexpr std::size_t ForeignPushes = 2; ///< nodes of each other data centre that a root pushes to
--- a/src/spread/spreadreport.cpp
+++ b/src/spread/spreadreport.cpp
@@ -3,12 +3,13 @@
 #include "spread/tree.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace Fescuenotch {
 namespace {
 
-const std::string ProfilePrefix = "profile/";
-const std::string ServicePrefix = "service/";
+constexpr std::string_view ProfilePrefix = "profile/";
+constexpr std::string_view ServicePrefix = "service/";
 
 /// The more lines take turns, the longer one may stay without renewal.
 Duration lifeOf(std::size_t lines)
--- a/tests/spread/fleet.h
+++ b/tests/spread/fleet.h
@@ -111,7 +111,7 @@
     std::vector<Message> m_messages;
 };
 
-inline const std::string Key = "profile/desk";
+constexpr const char *Key = "profile/desk";
 constexpr seconds Target{6}; ///< s; every reachable node is on the newest revision within this
 
 /// Two data centres of six nodes that hold the first revision.
--- a/tests/spread/parts_test.cpp
+++ b/tests/spread/parts_test.cpp
@@ -4,6 +4,7 @@
 #include "spread/largevalues.h"
 #include "spread/membership.h"
 #include "spread/platformquestions.h"
+#include "spread/readers.h"
 #include "spread/tree.h"
 #include "wire/controlcodec.h"
 
@@ -179,6 +180,40 @@
     BOOST_TEST(question.wait.count() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(readers_noBeaconThoughAllSeemAlive_nextRankTakesOverAndGivesBack)
+{
+    const auto ranked = rankedHosts(12);
+    const auto entry = [](const std::string &host) { return MemberEntry{host, 7400, "centre-1", "bookdesk", 1, 0, MemberState::Alive}; };
+    Readers next(3, entry(ranked[3].host));
+    Readers last(3, entry(ranked[11].host));
+    next.start(Begin);
+    last.start(Begin);
+    BOOST_TEST(!next.isReader(Begin + BeaconLimit, ranked));
+    BOOST_TEST(next.isReader(Begin + BeaconLimit + 2 * TakeoverStep, ranked));
+    BOOST_TEST(!last.isReader(Begin + BeaconLimit + 2 * TakeoverStep, ranked));
+    BeaconBody beacon{entry(ranked[0].host), 1, milliseconds(0), {}, true, {}};
+    const TimePoint later = Begin + seconds(3);
+    BOOST_TEST(next.onBeacon(later, beacon));
+    BOOST_TEST(!next.onBeacon(later, beacon));
+    BOOST_TEST(!next.isReader(later, ranked));
+}
+
+BOOST_AUTO_TEST_CASE(readers_platformSilentToAll_fewMoreRanksTry)
+{
+    const auto ranked = rankedHosts(12);
+    const auto entry = [](const std::string &host) { return MemberEntry{host, 7400, "centre-1", "bookdesk", 1, 0, MemberState::Alive}; };
+    Readers next(3, entry(ranked[3].host));
+    Readers last(3, entry(ranked[11].host));
+    next.start(Begin);
+    last.start(Begin);
+    const TimePoint later = Begin + PlatformLimit + seconds(2);
+    for (Readers *readers : {&next, &last}) {
+        readers->onBeacon(later, {entry(ranked[0].host), 1, PlatformLimit + seconds(1), {}, true, {}});
+    }
+    BOOST_TEST(next.isReader(later, ranked));
+    BOOST_TEST(!last.isReader(later, ranked));
+}
+
 BOOST_AUTO_TEST_CASE(largeValue_chunksInOrder_givesWholeValue)
 {
     const std::string value(100'000, 'x');
