--- a/src/config/documents.h
+++ b/src/config/documents.h
@@ -22,6 +22,7 @@
 struct Version {
     std::uint64_t epoch = 0; ///< raised by a platform that was restored from a backup
     std::uint64_t revision = 0; ///< raised by each accepted change
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 of a defaulted <=> for a null pointer
     auto operator<=>(const Version &) const = default;
 };
 /// "EPOCH.REVISION".
@@ -81,8 +82,8 @@
     std::uint64_t revision = 0; ///< of the platform's store
     bool complete = false; ///< the page is (part of) everything, not a difference
     bool more = false; ///< ask again after the last change's revision
-    std::optional<std::uint64_t> after; ///< revision that was asked after, set by whoever asked; none: not known
     std::vector<Record> changes;
+    std::optional<std::uint64_t> after = std::nullopt; ///< revision that was asked after, set by whoever asked; none: not known
 };
 
 enum class HostState { Live, Leaving };
