--- a/src/node/attemptregister.h
+++ b/src/node/attemptregister.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <map>
 #include <mutex>
+#include <unordered_map>
 
 namespace Fescuenotch {
 
@@ -20,9 +21,15 @@
     std::size_t size() const; ///< ids kept
 
 private:
+    struct IdHash {
+        std::size_t operator()(const AttemptId &id) const
+        {
+            return id.node ^ id.number;
+        }
+    };
     struct Shard {
         mutable std::mutex mutex;
-        std::map<AttemptId, TimePoint> deadlines;
+        std::unordered_map<AttemptId, TimePoint, IdHash> deadlines;
         std::multimap<TimePoint, AttemptId> byDeadline;
     };
     static constexpr std::size_t ShardCount = 8;
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -27,7 +27,11 @@
     RequestClass requestClass = RequestClass::Read;
     TimePoint deadline;
     TicketId id = 0;
-    auto operator<=>(const WaitingTicket &) const = default;
+
+    bool operator<(const WaitingTicket &other) const
+    {
+        return std::tie(requestClass, deadline, id) < std::tie(other.requestClass, other.deadline, other.id);
+    }
 };
 
 class SlotAdmission final : public Admission
--- a/src/request/types.cpp
+++ b/src/request/types.cpp
@@ -80,6 +80,7 @@
 std::vector<Reason> allReasons()
 {
     std::vector<Reason> all;
+    all.reserve(ReasonTexts.size());
     for (const auto &text : ReasonTexts) {
         all.push_back(text.reason);
     }
--- a/tests/node/exithandler_test.cpp
+++ b/tests/node/exithandler_test.cpp
@@ -71,6 +71,7 @@
         return answerWith(sink, 200, {}, "x");
     };
     std::vector<std::shared_ptr<LoopStream>> streams;
+    streams.reserve(50);
     for (int n = 0; n < 50; ++n) {
         streams.push_back(offer());
     }
--- a/tests/node/requestfakes.cpp
+++ b/tests/node/requestfakes.cpp
@@ -185,7 +185,7 @@
     const auto now = ++running;
     auto most = mostRunning.load();
     while (most < now && !mostRunning.compare_exchange_weak(most, now)) { }
-    const auto result = script ? script(request, sink) : answerWith(sink, 200, {}, request.path);
+    auto result = script ? script(request, sink) : answerWith(sink, 200, {}, request.path);
     --running;
     return result;
 }
