--- a/src/plugins/callerhttp.cpp
+++ b/src/plugins/callerhttp.cpp
@@ -62,6 +62,7 @@
         m_quiesced = true;
         const int fd = MHD_quiesce_daemon(m_daemon);
         takeWaitingConnections(fd);
+        ::shutdown(fd, SHUT_RDWR); // the library may still poll it, and closing alone would leave it listening until then
         ::close(fd);
     }
 
@@ -102,8 +103,6 @@
                                 pool,
                                 MHD_OPTION_THREAD_STACK_SIZE,
                                 ThreadStackBytes,
-                                MHD_OPTION_STRICT_FOR_CLIENT,
-                                1,
                                 MHD_OPTION_URI_LOG_CALLBACK,
                                 onUri,
                                 this,
