--- a/src/plugins/directanswer.cpp
+++ b/src/plugins/directanswer.cpp
@@ -27,13 +27,11 @@
 {
     while (!bytes.empty()) {
         const auto n = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-        if (n > 0) {
-            bytes = bytes.subspan(static_cast<std::size_t>(n));
-        } else if (errno != EAGAIN && errno != EINTR) {
-            return false;
-        } else if (!waitFor(fd, POLLOUT, stallLimit)) {
+        const bool mayRepeat = n > 0 || errno == EAGAIN || errno == EINTR;
+        if (!mayRepeat || (n <= 0 && !waitFor(fd, POLLOUT, stallLimit))) {
             return false;
         }
+        bytes = bytes.subspan(n > 0 ? static_cast<std::size_t>(n) : 0);
     }
     return true;
 }
--- a/src/plugins/targethttp.cpp
+++ b/src/plugins/targethttp.cpp
@@ -314,7 +314,7 @@
     TargetResult exchange(const TargetRequest &request, TargetSink &sink) override
     {
         auto transfer = take();
-        const auto result = TargetExchange(request, sink, *transfer).run();
+        auto result = TargetExchange(request, sink, *transfer).run();
         giveBack(std::move(transfer));
         return result;
     }
