Caller server: a broken answer without length or chunks ends with a reset

A caller that speaks HTTP/1.0 takes the end of the connection for the end of the body, so an answer of unknown length that broke looked whole; the new test fails without the reset. An early answer with 204 or 304 tells no length.

--- a/src/plugins/callerconnection.cpp
+++ b/src/plugins/callerconnection.cpp
@@ -5,6 +5,7 @@
 #include "plugins/headlayout.h"
 
 #include <poll.h>
+#include <sys/socket.h>
 
 namespace Fescuenotch {
 
@@ -19,6 +20,14 @@
     return sameHeaderName(name, "Content-Length") || sameHeaderName(name, "Transfer-Encoding") || sameHeaderName(name, "Connection");
 }
 
+/// Ends a connection with a reset, so that its end is not taken for the end of a body. The library still closes the socket.
+void resetConnection(int fd)
+{
+    sockaddr unspecified{};
+    unspecified.sa_family = AF_UNSPEC;
+    ::connect(fd, &unspecified, sizeof unspecified);
+}
+
 bool hasNoBody(unsigned status)
 {
     return status == 204 || status == 304;
@@ -142,6 +151,7 @@
         return refuse(*refusal);
     }
     const auto framing = bodyFraming(head.headers);
+    m_chunksUnderstood = head.version == "HTTP/1.1";
     m_request = {head.method, head.uri, std::move(head.headers), framing.length, framing.chunked || framing.length.value_or(0) > 0, Clock::now()};
     removeHopByHopHeaders(m_request.headers);
     if (!framing.chunked) {
@@ -261,6 +271,7 @@
     if (response.body || (m_request.method == "HEAD" && response.bodyLength)) {
         m_answerBody = std::move(response.body);
         const auto size = response.bodyLength ? *response.bodyLength : MHD_SIZE_UNKNOWN;
+        m_endsByClose = !response.bodyLength && !m_chunksUnderstood;
         return MHD_create_response_from_callback(size, AnswerBlockBytes, readAnswerBody, this, nullptr);
     }
     m_shared.counters.bytesOut->add(response.text.size());
@@ -293,6 +304,9 @@
     exchange->restartStallTimer(true);
     if (n < 0) {
         exchange->m_answerBroken = true;
+        if (exchange->m_endsByClose) {
+            resetConnection(exchange->m_socket->fd());
+        }
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
     exchange->m_shared.counters.bytesOut->add(static_cast<std::uint64_t>(n));
--- a/src/plugins/directanswer.cpp
+++ b/src/plugins/directanswer.cpp
@@ -45,7 +45,9 @@
         }
     }
     const auto length = response.body ? response.bodyLength.value_or(0) : response.text.size();
-    text += chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + std::to_string(length) + "\r\n";
+    if (response.status != MHD_HTTP_NO_CONTENT && response.status != MHD_HTTP_NOT_MODIFIED) {
+        text += chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + std::to_string(length) + "\r\n";
+    }
     return text + "Connection: close\r\n\r\n";
 }
 
--- a/tests/plugins/callerhttp_test.cpp
+++ b/tests/plugins/callerhttp_test.cpp
@@ -180,6 +180,19 @@
     BOOST_TEST(waitUntil([&] { return metric("fescuenotch_caller_broken_answers_total") == "1"; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(answer_brokenForCallerWithoutChunks_endsWithReset, CallerFixture)
+{
+    start();
+    auto whole = connect();
+    whole.send("GET /body?size=100000&chunked=1 HTTP/1.0\r\n\r\n");
+    BOOST_TEST(whole.receiveAll().size() > 100'000U);
+    BOOST_TEST(!whole.wasReset());
+    auto broken = connect();
+    broken.send("GET /body?size=100000&chunked=1&break=50000 HTTP/1.0\r\n\r\n");
+    broken.receiveAll();
+    BOOST_TEST(broken.wasReset());
+}
+
 BOOST_FIXTURE_TEST_CASE(expectContinue_isAnsweredBeforeTheBody, CallerFixture)
 {
     start();
--- a/tests/plugins/rawsocket.cpp
+++ b/tests/plugins/rawsocket.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <stdexcept>
 
 namespace Fescuenotch {
@@ -89,6 +90,7 @@
     std::array<char, 65'536> piece{};
     const auto n = readable(m_fd, limit) ? ::recv(m_fd, piece.data(), piece.size(), 0) : 0;
     if (n <= 0) {
+        m_reset = n < 0 && errno == ECONNRESET;
         return 0;
     }
     buf.append(piece.data(), static_cast<std::size_t>(n));
@@ -133,9 +135,9 @@
     return false;
 }
 
-void RawSocket::shutdownSending()
+bool RawSocket::wasReset() const
 {
-    ::shutdown(m_fd, SHUT_WR);
+    return m_reset;
 }
 
 void RawSocket::close()
--- a/tests/plugins/rawsocket.h
+++ b/tests/plugins/rawsocket.h
@@ -34,13 +34,14 @@
     std::string receiveAnswer(milliseconds limit = seconds(5));
     std::size_t receiveSome(std::string &buf, milliseconds limit); ///< bytes, 0 at the end or when `limit` passes
     bool closedByPeer(milliseconds limit); ///< the other side closes within `limit`
-    void shutdownSending();
+    bool wasReset() const; ///< the last receive ended with a reset
     void close();
     void reset(); ///< closes with a reset
     int fd() const;
 
 private:
     int m_fd;
+    bool m_reset = false;
 };
 
 /// Accepts connections and runs `script` for each on a thread of its own, with the connection's number from 0.
