--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -27,7 +27,7 @@
 public:
     FileReporter(std::string experiment, const std::string &folder)
         : m_experiment(std::move(experiment))
-        , m_file(folder + "/" + m_experiment + ".jsonl")
+        , m_fileName(folder + "/" + m_experiment + ".jsonl")
         , m_start(std::chrono::steady_clock::now())
     {
     }
@@ -43,6 +43,9 @@
         measurement.experiment = m_experiment;
         measurement.run = m_run;
         measurement.seed = m_seed;
+        if (!m_file.is_open()) {
+            m_file.open(m_fileName);
+        }
         m_file << toJsonLine(measurement) << std::endl;
         m_all.push_back(std::move(measurement));
     }
@@ -65,7 +68,8 @@
 
 private:
     const std::string m_experiment;
-    std::ofstream m_file;
+    const std::string m_fileName;
+    std::ofstream m_file; ///< opened by the first measurement, so that a run that never began keeps the last results
     const std::chrono::steady_clock::time_point m_start;
     unsigned m_run = 0;
     std::uint64_t m_seed = 0;
@@ -112,9 +116,6 @@
     std::error_code ec;
     std::filesystem::create_directories(folder, ec);
     FileReporter reporter(experiment->name(), folder);
-    if (!reporter.good()) {
-        return failed({ErrorKind::InvalidInput, std::string(folder) + ": cannot be written", "give --out a folder that can be written", {}});
-    }
     for (unsigned run = 1; run <= repeats; ++run) {
         const auto seed = static_cast<std::uint64_t>(firstSeed) + run - 1;
         std::printf("%s run %u of %u, seed %llu\n", argv[0], run, repeats, static_cast<unsigned long long>(seed));
@@ -125,6 +126,9 @@
         }
     }
     std::printf("%s", tables(reporter.all()).c_str());
+    if (!reporter.good()) {
+        return failed({ErrorKind::InvalidInput, std::string(folder) + ": cannot be written", "give --out a folder that can be written", {}});
+    }
     return 0;
 }
 
