Store: platformMark is gone

Nothing used it: the spread core keeps the cursor of its questions itself. Its test mark_recordsFromPeers_doNotMoveIt went with the function, and two assertions on it in the page tests; what these tests say of withdrawals is unchanged.

--- a/src/config/listing.h
+++ b/src/config/listing.h
@@ -22,15 +22,6 @@
     {
         m_open = false;
     }
-    bool isOpen() const
-    {
-        return m_open;
-    }
-    /// Revision to ask after for the next part.
-    std::uint64_t lastRevision() const
-    {
-        return m_lastRevision;
-    }
     /// Of the first page: what is newer may be missing from the listing.
     Version version() const
     {
--- a/src/config/store.cpp
+++ b/src/config/store.cpp
@@ -22,7 +22,6 @@
     {
         return m_highWater;
     }
-    Version platformMark() const override;
     std::uint64_t hash() const override
     {
         return m_hash;
@@ -44,13 +43,11 @@
     VersionedDocument<Service> serviceDocument(const std::string &name) const override;
     bool take(const Record &record);
     std::vector<Record> missingFromListing() const;
-    void moveMark(const ConfigPage &page, bool listingEnds);
     const StoreEntry *find(const std::string &key) const;
 
     std::map<std::string, StoreEntry> m_entries;
     Listing m_listing;
     Version m_highWater;
-    Version m_mark; ///< up to where the platform was read without a gap
     std::uint64_t m_hash = 0; ///< sum over the entries, so that their order does not matter
     std::uint64_t m_stalePages = 0;
 };
@@ -92,7 +89,6 @@
         const auto withdrawn = apply(missingFromListing());
         news.insert(news.end(), withdrawn.begin(), withdrawn.end());
     }
-    moveMark(page, listingEnds);
     return news;
 }
 
@@ -108,34 +104,6 @@
     return tombstones;
 }
 
-void MapRecordStore::moveMark(const ConfigPage &page, bool listingEnds)
-{
-    const Version pageVersion{page.epoch, page.revision};
-    if (listingEnds) {
-        m_mark = pageVersion;
-        return;
-    }
-    if (m_listing.isOpen()) {
-        return;
-    }
-    const bool follows = page.epoch == m_mark.epoch && (!page.after || *page.after <= m_mark.revision);
-    if (!follows) {
-        m_mark = page.epoch == m_mark.epoch ? m_mark : Version();
-        return;
-    }
-    if (!page.more) {
-        m_mark = std::max(m_mark, pageVersion);
-    }
-    for (const auto &change : page.changes) {
-        m_mark = std::max(m_mark, change.version);
-    }
-}
-
-Version MapRecordStore::platformMark() const
-{
-    return m_listing.isOpen() ? Version{m_listing.version().epoch, m_listing.lastRevision()} : m_mark;
-}
-
 const StoreEntry *MapRecordStore::find(const std::string &key) const
 {
     const auto it = m_entries.find(key);
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -47,12 +47,6 @@
     virtual std::vector<KeyVersions> versions() const = 0;
     /// Highest version over all keys.
     virtual Version highWater() const = 0;
-    /// Up to where this node read the platform without a gap: what to ask it after. Differs from the high water when records
-    /// came from peers. Zero asks for everything; it falls back to zero when the platform's epoch rises.
-    virtual Version platformMark() const
-    {
-        return highWater();
-    }
     /// Hash over all key and version pairs (xxHash), equal on nodes that hold the same.
     virtual std::uint64_t hash() const = 0;
     virtual std::vector<RejectedRecord> rejected() const = 0;
--- a/tests/config/store_test.cpp
+++ b/tests/config/store_test.cpp
@@ -189,7 +189,6 @@
     const auto news = store->applyPage(page(9, {record("profile/desk", 9, profileText({"a"})), record("service/a", 2, serviceText(5))}));
     BOOST_TEST(news.size() == 2U);
     BOOST_TEST(withdrawn("service/b"));
-    BOOST_TEST((store->platformMark() == Version{1, 9}));
 }
 
 BOOST_AUTO_TEST_CASE(completePage_split_withdrawsOnlyAtItsEnd)
@@ -197,7 +196,6 @@
     started();
     store->applyPage(page(9, {record("profile/desk", 1, profileText({"a", "b"}))}, true, true));
     BOOST_TEST(!withdrawn("service/a"));
-    BOOST_TEST((store->platformMark() == Version{1, 1}));
     auto last = page(10, {record("service/c", 10, serviceText(1)), record("service/a", 2, serviceText(5))}, false, false);
     last.after = 1;
     store->applyPage(last);
@@ -238,17 +236,6 @@
     BOOST_TEST(withdrawn("service/b"));
 }
 
-BOOST_AUTO_TEST_CASE(mark_recordsFromPeers_doNotMoveIt)
-{
-    store->applyPage(page(3, {record("service/a", 2, serviceText(2))}));
-    take(record("service/b", 9, serviceText(9)));
-    BOOST_TEST((store->platformMark() == Version{1, 3}));
-    store->applyPage(page(9, {record("service/c", 8, serviceText(8)), record("service/b", 9, serviceText(9))}, false));
-    BOOST_TEST((store->platformMark() == Version{1, 9}));
-    store->applyPage(page(5, {record("service/c", 5, serviceText(5), 2)}, false, false, 2));
-    BOOST_TEST((store->platformMark() == Version{})); // a difference of another epoch: ask for everything
-}
-
 BOOST_AUTO_TEST_CASE(anyOrderLossesAndCopies_sameStateAndNoKeyGoesDown)
 {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
