Report adds up the fleet once per round; a third data centre vouches for two that are cut

Expected nodes and newest versions were computed once per line, which at 340 profiles and 2,800 hosts is a pass over the whole fleet per profile.

--- a/src/spread/spreadreport.cpp
+++ b/src/spread/spreadreport.cpp
@@ -131,32 +131,36 @@
     return m_upTurns.next(sum);
 }
 
-/// Nodes of this data centre that should have the profile in force: the known members of the services that follow it.
-unsigned SpreadReport::expected(const std::string &profile) const
+/// Nodes of this data centre that should have each profile in force: the known members of the services that follow it.
+std::map<std::string, unsigned> SpreadReport::expected() const
 {
-    unsigned n = 0;
-    for (const auto &it : m_context.members.all()) {
-        const bool counts = m_context.isOwn(it.dataCentre) && it.state != MemberState::Leaving;
-        n += counts && m_context.store.profileOf(it.service) == profile ? 1 : 0;
+    auto members = m_context.members.others(m_context.settings.dataCentre, true);
+    members.push_back(m_context.members.self());
+    std::map<std::string, unsigned> nodes;
+    for (const auto &it : members) {
+        if (it.state != MemberState::Leaving) {
+            ++nodes[m_context.store.profileOf(it.service)];
+        }
     }
-    return n;
+    return nodes;
 }
 
-Version SpreadReport::newest(const std::string &profile) const
+std::map<std::string, Version> SpreadReport::newest() const
 {
-    Version version;
+    std::map<std::string, Version> versions;
     for (const auto &[place, renewed] : m_totals) {
-        if (place.first == profile && !renewed.line.counts.empty()) {
+        if (!renewed.line.counts.empty()) {
+            auto &version = versions[place.first];
             version = std::max(version, renewed.line.counts.front().version);
         }
     }
-    return version;
+    return versions;
 }
 
-milliseconds SpreadReport::lag(TimePoint now, const SummaryLine &line)
+milliseconds SpreadReport::lag(TimePoint now, const SummaryLine &line, Version newest)
 {
     auto &lag = m_lags[line.profile];
-    const Version version = std::max(newest(line.profile), line.counts.empty() ? Version{} : line.counts.front().version);
+    const Version version = std::max(newest, line.counts.empty() ? Version{} : line.counts.front().version);
     if (version > lag.newest) {
         lag = Lag{version, now};
     }
@@ -174,11 +178,13 @@
         return;
     }
     m_lastSummary = now;
+    auto expectedNodes = expected();
+    auto newestVersions = newest();
     for (auto &[place, line] : subtree(now)) {
-        const unsigned wanted = expected(place.first);
+        const unsigned wanted = expectedNodes[place.first];
         const unsigned heard = nodesOf(line);
         line.silent = wanted > heard ? wanted - heard : 0;
-        line.lag = lag(now, line);
+        line.lag = lag(now, line, newestVersions[place.first]);
         m_totals[place] = Renewed{line, now};
     }
 }
@@ -204,8 +210,9 @@
 std::vector<SpreadLine> SpreadReport::lines(TimePoint now) const
 {
     std::vector<SpreadLine> report;
+    auto newestVersions = newest();
     for (const auto &[place, renewed] : m_totals) {
-        SpreadLine line{place.first, place.second, newest(place.first), 0, 0, renewed.line.silent, renewed.line.rejecting, renewed.line.lag};
+        SpreadLine line{place.first, place.second, newestVersions[place.first], 0, 0, renewed.line.silent, renewed.line.rejecting, renewed.line.lag};
         const bool fresh = now - renewed.at <= lifeOf(m_totals.size());
         for (const auto &it : renewed.line.counts) {
             unsigned &part = !fresh ? line.silent : it.version == line.newest ? line.inForce : line.behind;
--- a/src/spread/spreadreport.h
+++ b/src/spread/spreadreport.h
@@ -62,9 +62,9 @@
     std::vector<RankedHost> currentChildren() const;
     std::map<Place, SummaryLine> subtree(TimePoint now) const;
     void addOwn(std::map<Place, SummaryLine> &into) const;
-    unsigned expected(const std::string &profile) const;
-    milliseconds lag(TimePoint now, const SummaryLine &line);
-    Version newest(const std::string &profile) const;
+    std::map<std::string, unsigned> expected() const;
+    milliseconds lag(TimePoint now, const SummaryLine &line, Version newest);
+    std::map<std::string, Version> newest() const;
 
     SpreadContext &m_context;
     std::map<std::string, Version> m_inForce; ///< by profile
--- a/tests/spread/members_test.cpp
+++ b/tests/spread/members_test.cpp
@@ -97,6 +97,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(dataCentres_cutFromEachOther_thirdVouchesForBoth)
+{
+    Fleet fleet;
+    const auto first = fleet.list(1, 4);
+    const auto second = fleet.list(2, 4);
+    fleet.list(3, 4);
+    const auto begun = fleet.publish(Key, "v1");
+    fleet.startAll();
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.allTrusted() && fleet.allHold(Key, begun); }, seconds(8)));
+    fleet.cut(1, 2);
+    fleet.cut(0, 1);
+    fleet.run(seconds(30));
+    for (const auto &host : second) {
+        BOOST_TEST((fleet.stateOf(first.front(), host) != MemberState::Dead));
+    }
+    const auto version = fleet.publish(Key, "v2");
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allHold(Key, version); }, Target));
+}
+
 BOOST_AUTO_TEST_CASE(report_nodeKilled_countedSilentAndNotInForce)
 {
     TwoCentres fleet;
--- a/tests/spread/parts_test.cpp
+++ b/tests/spread/parts_test.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-const TimePoint Begin = TimePoint{} + std::chrono::hours(1);
+constexpr TimePoint Begin = TimePoint{} + std::chrono::hours(1);
 
 std::vector<RankedHost> rankedHosts(unsigned n)
 {
