--- a/src/spread/memberexchange.cpp
+++ b/src/spread/memberexchange.cpp
@@ -46,7 +46,22 @@
         m_context.leavingHosts.insert(entry.host);
     }
     m_context.outbox.ride(entry);
-    if (!tree.root.empty() && entry.state != MemberState::Suspect) {
+    passOn(entry, tree);
+}
+
+/// Once per tree, and whether or not it was news here: two trees cross, and each has children of its own below this node.
+void MemberExchange::passOn(const MemberEntry &entry, const NewsTree &tree)
+{
+    const auto *held = m_context.members.find(entry.host);
+    const bool isCurrent = held != nullptr && *held == entry;
+    if (tree.root.empty() || entry.state == MemberState::Suspect || !isCurrent) {
+        return;
+    }
+    auto &passed = m_passed[entry.host];
+    if (passed.entry != entry) {
+        passed = PassedOn{entry, {}};
+    }
+    if (passed.roots.insert(tree.root).second) {
         m_news[tree].push_back(entry);
     }
 }
@@ -70,6 +85,8 @@
     const auto news = m_context.members.merge(now, entry);
     if (news) {
         noteNews(*news, tree);
+    } else {
+        passOn(entry, tree);
     }
 }
 
@@ -266,7 +283,7 @@
     std::erase_if(m_helping, [&](const auto &it) { return it.second.back().until < now; });
 }
 
-/// One helper each of the own data centre, of the member's, and of any.
+/// Helpers of the own data centre, of the member's, and of third ones, which still reach both when these two are cut.
 void MemberExchange::askHelpers(const std::string &host)
 {
     const auto *member = m_context.members.find(host);
@@ -275,33 +292,47 @@
     }
     const MemberEntry probed = *member;
     m_probe(peerOf(probed));
-    auto helpers = m_context.sample(m_context.members.others(m_context.settings.dataCentre, false), 1);
-    for (const auto &some : {m_context.members.others(probed.dataCentre, false), m_context.foreign(false)}) {
-        const auto one = m_context.sample(some, 1);
+    auto third = m_context.foreign(false);
+    std::erase_if(third, [&](const MemberEntry &it) { return it.dataCentre == probed.dataCentre; });
+    auto helpers = m_context.sample(third, 2);
+    for (const auto &name : {m_context.settings.dataCentre, probed.dataCentre}) {
+        const auto one = m_context.sample(m_context.members.others(name, false), 1);
         helpers.insert(helpers.end(), one.begin(), one.end());
     }
     for (const auto &it : helpers) {
         if (it.host != host) {
-            m_context.outbox.send(peerOf(it), ProbeRequestBody{peerOf(probed)});
+            m_context.outbox.send(peerOf(it), ProbeRequestBody{probed});
         }
     }
 }
 
 void MemberExchange::on(TimePoint now, const MemberEntry &sender, const ProbeRequestBody &body)
 {
-    if (m_context.members.find(body.peer.host) == nullptr) {
+    if (m_context.members.find(body.member.host) == nullptr) {
         return;
     }
-    auto &askers = m_helping[body.peer.host];
+    auto &askers = m_helping[body.member.host];
     if (askers.size() < ProbeHelpers * ProbeHelpers) {
         askers.push_back(Helping{peerOf(sender), now + 2 * ProbeLimit});
     }
-    m_probe(body.peer);
+    if (body.member.state == MemberState::Suspect) {
+        m_context.outbox.send(peerOf(body.member), MemberNewsBody{{}, {body.member}});
+    }
+    m_probe(peerOf(body.member));
 }
 
-void MemberExchange::on(TimePoint, const ProbeAnswerBody &body)
+void MemberExchange::on(TimePoint now, const ProbeAnswerBody &body)
 {
     m_probes.erase(body.host);
+    const auto *held = m_context.members.find(body.host);
+    if (held == nullptr || held->state != MemberState::Suspect) {
+        return;
+    }
+    MemberEntry answered = *held;
+    answered.incarnation = body.incarnation;
+    answered.refutation = body.refutation;
+    answered.state = MemberState::Alive;
+    takeNews(now, answered, ownTree());
 }
 
 void MemberExchange::onPeerLost(TimePoint now, const Endpoint &peer)
@@ -348,7 +379,7 @@
             m_suspected.erase(host);
             declareDead(now, host, ownTree());
         } else if (probes) {
-            m_probe(peerOf(*member));
+            askHelpers(host);
         }
     }
     if (probes) {
--- a/src/spread/memberexchange.h
+++ b/src/spread/memberexchange.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -70,6 +71,10 @@
         std::size_t buckets = 0; ///< received so far
         bool peerKnows = false; ///< it knows the whole fleet
     };
+    struct PassedOn {
+        MemberEntry entry;
+        std::set<std::string> roots; ///< of the trees that it was passed on in
+    };
     struct Helping {
         Endpoint asker;
         TimePoint until;
@@ -87,6 +92,7 @@
 
     NewsTree ownTree() const;
     void noteNews(const MemberEntry &entry, const NewsTree &tree);
+    void passOn(const MemberEntry &entry, const NewsTree &tree);
     void takeNews(TimePoint now, const MemberEntry &entry, const NewsTree &tree);
     std::vector<Endpoint> newsTargets(const NewsTree &tree);
     void aboutSelf(const MemberEntry &entry);
@@ -106,6 +112,7 @@
     std::map<std::string, std::vector<Helping>> m_helping; ///< by host probed for others
     std::map<std::string, TimePoint> m_told; ///< by host
     std::map<NewsTree, std::vector<MemberEntry>> m_news; ///< to pass on at the next tick
+    std::map<std::string, PassedOn> m_passed; ///< the latest news passed on, by host
     std::vector<std::string> m_silent;
     std::uint64_t m_suspicions = 0;
     TimePoint m_nextProbe{};
--- a/src/spread/messages.h
+++ b/src/spread/messages.h
@@ -117,9 +117,9 @@
     std::vector<MemberEntry> members;
     bool answer = false; ///< it answers another set; no further answer
 };
-/// Asks the receiver to probe a member that does not answer the sender.
+/// Asks the receiver to probe a member that does not answer the sender, and to tell it when it is suspected.
 struct ProbeRequestBody {
-    Endpoint peer;
+    MemberEntry member;
 };
 /// The probed member answered.
 struct ProbeAnswerBody {
--- a/src/wire/control_generated.h
+++ b/src/wire/control_generated.h
@@ -1625,20 +1625,15 @@
 struct ProbeRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ProbeRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HOST = 4,
-    VT_PORT = 6
+    VT_MEMBER = 4
   };
-  const flatbuffers::String *host() const {
-    return GetPointer<const flatbuffers::String *>(VT_HOST);
-  }
-  uint16_t port() const {
-    return GetField<uint16_t>(VT_PORT, 0);
+  const Fescuenotch::ControlWire::Member *member() const {
+    return GetPointer<const Fescuenotch::ControlWire::Member *>(VT_MEMBER);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_HOST) &&
-           verifier.VerifyString(host()) &&
-           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyOffsetRequired(verifier, VT_MEMBER) &&
+           verifier.VerifyTable(member()) &&
            verifier.EndTable();
   }
 };
@@ -1647,11 +1642,8 @@
   typedef ProbeRequest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
-    fbb_.AddOffset(ProbeRequest::VT_HOST, host);
-  }
-  void add_port(uint16_t port) {
-    fbb_.AddElement<uint16_t>(ProbeRequest::VT_PORT, port, 0);
+  void add_member(flatbuffers::Offset<Fescuenotch::ControlWire::Member> member) {
+    fbb_.AddOffset(ProbeRequest::VT_MEMBER, member);
   }
   explicit ProbeRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1660,32 +1652,19 @@
   flatbuffers::Offset<ProbeRequest> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<ProbeRequest>(end);
-    fbb_.Required(o, ProbeRequest::VT_HOST);
+    fbb_.Required(o, ProbeRequest::VT_MEMBER);
     return o;
   }
 };
 
 inline flatbuffers::Offset<ProbeRequest> CreateProbeRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> host = 0,
-    uint16_t port = 0) {
+    flatbuffers::Offset<Fescuenotch::ControlWire::Member> member = 0) {
   ProbeRequestBuilder builder_(_fbb);
-  builder_.add_host(host);
-  builder_.add_port(port);
+  builder_.add_member(member);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ProbeRequest> CreateProbeRequestDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *host = nullptr,
-    uint16_t port = 0) {
-  auto host__ = host ? _fbb.CreateString(host) : 0;
-  return Fescuenotch::ControlWire::CreateProbeRequest(
-      _fbb,
-      host__,
-      port);
-}
-
 struct ProbeAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ProbeAnswerBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/src/wire/controlcodec.cpp
+++ b/src/wire/controlcodec.cpp
@@ -146,7 +146,7 @@
     }
     Offset<Wire::ProbeRequest> operator()(const ProbeRequestBody &v) const
     {
-        return Wire::CreateProbeRequest(b, b.CreateString(v.peer.host), v.peer.port);
+        return Wire::CreateProbeRequest(b, put(b, v.member));
     }
     Offset<Wire::ProbeAnswer> operator()(const ProbeAnswerBody &v) const
     {
@@ -329,7 +329,7 @@
 }
 ProbeRequestBody get(const Wire::ProbeRequest *v)
 {
-    return {Endpoint{text(v->host()), v->port()}};
+    return {get(v->member())};
 }
 ProbeAnswerBody get(const Wire::ProbeAnswer *v)
 {
--- a/tests/spread/fleet.cpp
+++ b/tests/spread/fleet.cpp
@@ -141,6 +141,7 @@
         ++callsPerSecond[std::chrono::duration_cast<seconds>(m_now.time_since_epoch()).count()];
     }
     if (actions.watchConfig) {
+        watchers.insert(node.settings.self.host);
         node.watching = true;
         node.watchAfter = actions.watchAfter;
         node.watchUntil = m_now + actions.watchWait;
--- a/tests/spread/fleet.h
+++ b/tests/spread/fleet.h
@@ -60,6 +60,7 @@
     bool platformDown = false;
     milliseconds retryAfter{0}; ///< ms; of a platform that is down
     unsigned platformCalls = 0;
+    std::set<std::string> watchers; ///< hosts that asked for configuration so far
     std::map<std::int64_t, unsigned> callsPerSecond; ///< by second of virtual time
     std::map<std::string, std::uint64_t> bytesByKind;
     std::size_t largestMessage = 0; ///< bytes
--- a/tests/spread/members_test.cpp
+++ b/tests/spread/members_test.cpp
@@ -36,6 +36,20 @@
     BOOST_TEST(fleet.runUntil([&] { return allSee(fleet, host, MemberState::Leaving); }, seconds(3)));
 }
 
+BOOST_AUTO_TEST_CASE(node_leaving_newsDoesNotWaitForDigests)
+{
+    Fleet fleet;
+    fleet.adjust = [](SpreadSettings &settings) { settings.digestPeriod = seconds(60); };
+    const auto first = fleet.list(1, 6);
+    fleet.list(2, 6);
+    fleet.publish(Key, "v1");
+    fleet.startAll();
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.allTrusted(); }, seconds(8)));
+    fleet.run(seconds(2));
+    fleet.leave(first.at(2));
+    BOOST_TEST(fleet.runUntil([&] { return allSee(fleet, first.at(2), MemberState::Leaving); }, seconds(3)));
+}
+
 BOOST_AUTO_TEST_CASE(node_killed_suspectBeforeDead)
 {
     TwoCentres fleet;
--- a/tests/spread/parts_test.cpp
+++ b/tests/spread/parts_test.cpp
@@ -78,7 +78,7 @@
             MemberNewsBody{"127.22.1.1", {entry}},
             MemberBucketsBody{std::vector<std::uint32_t>(BucketCount, 9)},
             MemberSetBody{{1}, 1, {entry}, true},
-            ProbeRequestBody{Endpoint{"127.22.1.2", 7400}},
+            ProbeRequestBody{entry},
             ProbeAnswerBody{"127.22.1.2", 7, 1},
             BeaconBody{entry, 5, milliseconds(10), version, true, {line}},
             SummaryBody{{line}}};
@@ -100,6 +100,18 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(membership_leavingThenLateRefutation_staysLeavingUntilReplaced)
+{
+    Membership members({"127.22.1.1", 7400, "centre-1", "bookdesk", 1, 0, MemberState::Alive});
+    MemberEntry entry{"127.22.1.2", 7400, "centre-1", "bookdesk", 7, 0, MemberState::Leaving};
+    members.merge(Begin, entry);
+    entry.state = MemberState::Alive;
+    entry.refutation = 5;
+    BOOST_TEST(!members.merge(Begin, entry).has_value());
+    entry.incarnation = 8;
+    BOOST_TEST(members.merge(Begin, entry).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(tree_rootNotInList_stillReachesAll)
 {
     const auto ranked = rankedHosts(12);
--- a/tests/spread/spread_test.cpp
+++ b/tests/spread/spread_test.cpp
@@ -22,6 +22,18 @@
     BOOST_TEST_MESSAGE("ready after ms " << std::chrono::duration_cast<milliseconds>(fleet.now() - begin).count());
 }
 
+BOOST_AUTO_TEST_CASE(herd_start_onlyReadersAskForConfiguration)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        Fleet fleet(seed);
+        fleet.list(1, 12);
+        fleet.publish(Key, "v1");
+        fleet.startAll();
+        BOOST_TEST(fleet.runUntil([&] { return fleet.allTrusted(); }, seconds(8)));
+        BOOST_TEST(fleet.watchers.size() <= 3U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(change_published_heldEverywhere)
 {
     TwoCentres fleet;
