--- a/src/spread/memberexchange.h
+++ b/src/spread/memberexchange.h
@@ -3,6 +3,7 @@
 // How to use: `onHeard` for every message, then one `on` per member body. `onTick` sends what is due. `probe` sends a
 // digest that must be answered: after `ProbeLimit` others are asked to probe, after twice that the member is suspect,
 // and after `SuspicionLimit` more it is dead unless it refutes.
+// News goes on once per tree. A helper tells a suspect that it is suspected, and its answer brings the refutation back.
 // Pitfall: a member counts as up when anybody reaches it; whether this node reaches it is for its links to say.
 #pragma once
 
