--- a/src/spread/memberexchange.h
+++ b/src/spread/memberexchange.h
@@ -3,6 +3,7 @@
 // How to use: `onHeard` for every message, then one `on` per member body. `onTick` sends what is due. `probe` sends a
 // digest that must be answered: after `ProbeLimit` others are asked to probe, after twice that the member is suspect,
 // and after `SuspicionLimit` more it is dead unless it refutes.
+// News goes on once per tree. A helper tells a suspect that it is suspected, and its answer brings the refutation back.
 // Pitfall: a member counts as up when anybody reaches it; whether this node reaches it is for its links to say.
 #pragma once
 
@@ -10,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -70,6 +72,10 @@
         std::size_t buckets = 0; ///< received so far
         bool peerKnows = false; ///< it knows the whole fleet
     };
+    struct PassedOn {
+        MemberEntry entry;
+        std::set<std::string> roots; ///< of the trees that it was passed on in
+    };
     struct Helping {
         Endpoint asker;
         TimePoint until;
@@ -87,6 +93,7 @@
 
     NewsTree ownTree() const;
     void noteNews(const MemberEntry &entry, const NewsTree &tree);
+    void passOn(const MemberEntry &entry, const NewsTree &tree);
     void takeNews(TimePoint now, const MemberEntry &entry, const NewsTree &tree);
     std::vector<Endpoint> newsTargets(const NewsTree &tree);
     void aboutSelf(const MemberEntry &entry);
@@ -106,6 +113,7 @@
     std::map<std::string, std::vector<Helping>> m_helping; ///< by host probed for others
     std::map<std::string, TimePoint> m_told; ///< by host
     std::map<NewsTree, std::vector<MemberEntry>> m_news; ///< to pass on at the next tick
+    std::map<std::string, PassedOn> m_passed; ///< the latest news passed on, by host
     std::vector<std::string> m_silent;
     std::uint64_t m_suspicions = 0;
     TimePoint m_nextProbe{};
--- a/tests/spread/members_test.cpp
+++ b/tests/spread/members_test.cpp
@@ -36,6 +36,20 @@
     BOOST_TEST(fleet.runUntil([&] { return allSee(fleet, host, MemberState::Leaving); }, seconds(3)));
 }
 
+BOOST_AUTO_TEST_CASE(node_leaving_newsDoesNotWaitForDigests)
+{
+    Fleet fleet;
+    fleet.adjust = [](SpreadSettings &settings) { settings.digestPeriod = seconds(60); };
+    const auto first = fleet.list(1, 6);
+    fleet.list(2, 6);
+    fleet.publish(Key, "v1");
+    fleet.startAll();
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.allTrusted(); }, seconds(8)));
+    fleet.run(seconds(2));
+    fleet.leave(first.at(2));
+    BOOST_TEST(fleet.runUntil([&] { return allSee(fleet, first.at(2), MemberState::Leaving); }, seconds(3)));
+}
+
 BOOST_AUTO_TEST_CASE(node_killed_suspectBeforeDead)
 {
     TwoCentres fleet;
@@ -97,6 +111,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(dataCentres_cutFromEachOther_thirdVouchesForBoth)
+{
+    Fleet fleet;
+    const auto first = fleet.list(1, 4);
+    const auto second = fleet.list(2, 4);
+    fleet.list(3, 4);
+    const auto begun = fleet.publish(Key, "v1");
+    fleet.startAll();
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.allTrusted() && fleet.allHold(Key, begun); }, seconds(8)));
+    fleet.cut(1, 2);
+    fleet.cut(0, 1);
+    fleet.run(seconds(30));
+    for (const auto &host : second) {
+        BOOST_TEST((fleet.stateOf(first.front(), host) != MemberState::Dead));
+    }
+    const auto version = fleet.publish(Key, "v2");
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allHold(Key, version); }, Target));
+}
+
 BOOST_AUTO_TEST_CASE(report_nodeKilled_countedSilentAndNotInForce)
 {
     TwoCentres fleet;
