Exit node keeps a slot for 50 ms after its exchange was cut

Seen failing in slot_exchangeWasCut_isKeptUntilTheTargetCanHaveNoticed. A target that ignores a closed connection can still pass.

--- a/src/node/exitcore.cpp
+++ b/src/node/exitcore.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t FirstWorkers = 32; ///< threads started ahead of the first request
+constexpr milliseconds TargetNoticeTime{50}; ///< a slot is kept so long after its exchange was cut, for the target to stop its work
 constexpr seconds DrainingMemory{30}; ///< how long a target's "draining" holds without being said again
 
 unsigned usableSlots(const TargetEntry &target)
@@ -225,14 +226,22 @@
     if (isSample) {
         m_metrics.onExchange(job.attempt->head().requestClass, now - started);
     }
+    const bool mayStillRun = result.sent && !result.complete;
+    if (mayStillRun) {
+        conclusion.load = load();
+        end(*job.attempt, conclusion);
+        std::this_thread::sleep_for(TargetNoticeTime);
+    }
     Refused refused;
     {
         const std::lock_guard lock(m_mutex);
         noteTargetLocked(now, result, exchange.targetDrains());
-        refused = applyLocked(m_admission->finished(now, job.ticket, isSample ? now - started : Duration(0), exchange.targetShed()));
+        refused = applyLocked(m_admission->finished(Clock::now(), job.ticket, isSample ? now - started : Duration(0), exchange.targetShed()));
         conclusion.load = loadLocked(now);
     }
-    end(*job.attempt, conclusion);
+    if (!mayStillRun) {
+        end(*job.attempt, conclusion);
+    }
     endRefused(refused);
 }
 
--- a/tests/node/exithandler_test.cpp
+++ b/tests/node/exithandler_test.cpp
@@ -121,6 +121,26 @@
     BOOST_TEST((endOf(stream).outcome == Outcome::Unknown));
 }
 
+BOOST_AUTO_TEST_CASE(slot_exchangeWasCut_isKeptUntilTheTargetCanHaveNoticed)
+{
+    std::vector<TimePoint> starts;
+    side.target.script = [&](const TargetRequest &, TargetSink &sink) {
+        starts.push_back(Clock::now()); // one slot while cold, so never two at once
+        while (starts.size() == 1 && !sink.cancelled()) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        return starts.size() == 1 ? TargetResult{true, false, Reason::Cancelled, ""} : answerWith(sink, 200, {}, "x");
+    };
+    const auto first = offer(false);
+    const auto second = offer(false);
+    BOOST_TEST(waitFor([&] { return side.target.started == 1; }));
+    const auto cut = Clock::now();
+    first->cancel();
+    endOf(second);
+    BOOST_REQUIRE(starts.size() == 2U);
+    BOOST_TEST((starts[1] - cut >= milliseconds(50)));
+}
+
 BOOST_AUTO_TEST_CASE(write_deadlinePassesWhileRunning_isEndedAsUnknownByDeadline)
 {
     holdExchanges();
