--- a/src/plugins/callerconnection.cpp
+++ b/src/plugins/callerconnection.cpp
@@ -25,7 +25,7 @@
 {
     sockaddr unspecified{};
     unspecified.sa_family = AF_UNSPEC;
-    ::connect(fd, &unspecified, sizeof unspecified);
+    static_cast<void>(::connect(fd, &unspecified, sizeof unspecified));
 }
 
 bool hasNoBody(unsigned status)
