--- a/tests/plugins/callerhttp_test.cpp
+++ b/tests/plugins/callerhttp_test.cpp
@@ -28,7 +28,7 @@
 
 using namespace std::string_view_literals;
 
-const std::vector<Shape> SmugglingShapes{
+const std::vector<Shape> smugglingShapes{
     {"two lengths", "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello"},
     {"two different lengths", "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!"},
     {"length list", "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 5, 5\r\n\r\nhello"},
@@ -85,7 +85,7 @@
 
 BOOST_AUTO_TEST_SUITE(CallerHttp)
 
-BOOST_DATA_TEST_CASE_F(CallerFixture, request_smugglingShape_isRefusedAndNeverHandedOn, SmugglingShapes, shape)
+BOOST_DATA_TEST_CASE_F(CallerFixture, request_smugglingShape_isRefusedAndNeverHandedOn, smugglingShapes, shape)
 {
     start();
     const auto answer = exchange(shape.bytes);
@@ -180,6 +180,19 @@
     BOOST_TEST(waitUntil([&] { return metric("fescuenotch_caller_broken_answers_total") == "1"; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(answer_brokenForCallerWithoutChunks_endsWithReset, CallerFixture)
+{
+    start();
+    auto whole = connect();
+    whole.send("GET /body?size=100000&chunked=1 HTTP/1.0\r\n\r\n");
+    BOOST_TEST(whole.receiveAll().size() > 100'000U);
+    BOOST_TEST(!whole.wasReset());
+    auto broken = connect();
+    broken.send("GET /body?size=100000&chunked=1&break=50000 HTTP/1.0\r\n\r\n");
+    broken.receiveAll();
+    BOOST_TEST(broken.wasReset());
+}
+
 BOOST_FIXTURE_TEST_CASE(expectContinue_isAnsweredBeforeTheBody, CallerFixture)
 {
     start();
