--- a/tests/scenarios/checks_test.cpp
+++ b/tests/scenarios/checks_test.cpp
@@ -15,7 +15,7 @@
     }
 };
 
-const std::string LogLine = "time=2026-01-31T12:00:00.123Z level=info event=profile_in_force host=127.24.1.11 profile=desk epoch=1 revision=4\n";
+const std::string logLine = "time=2026-01-31T12:00:00.123Z level=info event=profile_in_force host=127.24.1.11 profile=desk epoch=1 revision=4\n";
 
 } // namespace
 
@@ -23,7 +23,7 @@
 
 BOOST_AUTO_TEST_CASE(inForceLines_amongOthers_areRead)
 {
-    const auto life = readInForceLines("event=node_started\n" + LogLine + "time=x level=info event=link_lost peer=a\n");
+    const auto life = readInForceLines("event=node_started\n" + logLine + "time=x level=info event=link_lost peer=a\n");
     BOOST_REQUIRE(life.size() == 1);
     BOOST_TEST(life[0].profile == "desk");
     BOOST_TEST(bool(life[0].version == Version{1, 4}));
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -61,7 +61,7 @@
 
 nlohmann::json Scenario::platformStats()
 {
-    const auto stats = fleet.http().getJson(fleet.platformOperator() + "/stats");
+    auto stats = fleet.http().getJson(fleet.platformOperator() + "/stats");
     if (!stats.is_object()) {
         throw ScenarioFailure("the platform gives no statistics; is it running?");
     }
--- a/tests/scenarios/scenarios_test.cpp
+++ b/tests/scenarios/scenarios_test.cpp
@@ -49,6 +49,6 @@
     return true;
 }
 
-const bool Registered = registerScripts();
+const bool registered = registerScripts();
 
 } // namespace
--- a/tests/scenarios/script.cpp
+++ b/tests/scenarios/script.cpp
@@ -250,6 +250,7 @@
 std::variant<std::vector<Step>, ScriptFault> parseScript(const std::string &text, const std::vector<std::string> &patterns)
 {
     std::vector<Words> split;
+    split.reserve(patterns.size());
     for (const auto &pattern : patterns) {
         split.push_back(splitWords(pattern));
     }
--- a/tests/scenarios/standins_test.cpp
+++ b/tests/scenarios/standins_test.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const std::string Base = "127.24.249.1";
+const std::string baseIp = "127.24.249.1";
 
 ServerCall get(const std::string &path, const std::map<std::string, std::string> &query = {})
 {
@@ -46,7 +46,7 @@
 
 struct TargetFixture {
     Target target{TargetSettings{}};
-    HttpServer server{{{Base, 9000}}, [this](const ServerCall &call) { return target.answer(call); }};
+    HttpServer server{{{baseIp, 9000}}, [this](const ServerCall &call) { return target.answer(call); }};
     HttpClient client;
     TargetFixture()
     {
@@ -63,7 +63,7 @@
     ClientReply ask(const std::string &path, const Headers &headers = {}, milliseconds timeout = milliseconds(3'000))
     {
         ClientCall call;
-        call.url = "http://" + Base + ":9000" + path;
+        call.url = "http://" + baseIp + ":9000" + path;
         call.headers = headers;
         call.timeout = timeout;
         return client.run(call);
@@ -155,10 +155,10 @@
 
 BOOST_AUTO_TEST_CASE(silent_open_connectionsOfALink_staySilentWhileNewOnesWork)
 {
-    Link link({Base, 9500}, {Base, 9000});
+    Link link({baseIp, 9500}, {baseIp, 9000});
     BOOST_TEST(!errorOf([&] { return link.start(); }));
     ClientCall call;
-    call.url = "http://" + Base + ":9500/echo/token";
+    call.url = "http://" + baseIp + ":9500/echo/token";
     call.timeout = milliseconds(300);
     BOOST_TEST(client.run(call).body == "token");
     link.silenceOpen();
