A host listed as leaving is known within 3 s; a target that drained and came back gets work again

Seen: leaving_target_gets_no_new_work, 30 to 38 requests in the fourth second after the host was listed; after a target's restart every call ended no-target for over 20 s. Cause 1: one question at a time, so the list waited behind a watch of 5 s, and was read each 10 s only. Now one question of each kind; the first rank reads the list each 2 s. Cause 2: for a process younger than 60 s the list's word was dropped for good. It is now deferred by 10 s and then taken. Cause 3: a draining target got no work, so nothing could show that it was back. Its exit node now opens a connection each 100 ms, sends nothing, and counts it as new once one failed and a later one succeeded (target_drainedAndRestarted_takesWorkAgainWithinSeconds).

drain_cut_total is registered at the start, so that it shows 0.

--- a/src/node/exitcore.cpp
+++ b/src/node/exitcore.cpp
@@ -23,6 +23,7 @@
 ExitCore::ExitCore(const ExitParts &parts)
     : m_parts(parts)
     , m_metrics(*parts.metrics)
+    , m_drainProbe([this](const Endpoint &address, milliseconds limit) { return m_parts.target->reachable(address, limit); }, [this] { onTargetBack(); })
 {
 }
 
@@ -245,10 +246,20 @@
     endRefused(refused);
 }
 
+/// A target that drained has gone away and accepts connections again: it is a new, cold one.
+void ExitCore::onTargetBack()
+{
+    const std::lock_guard lock(m_mutex);
+    m_drainingUntil = {};
+    m_targetDown = false;
+    m_admission->onCold(Clock::now());
+}
+
 void ExitCore::noteTargetLocked(TimePoint now, const TargetResult &result, bool drains)
 {
     if (drains) {
         m_drainingUntil = now + DrainingMemory;
+        m_drainProbe.watch(m_target.address, m_drainingUntil);
     }
     if (result.reason == Reason::ConnectFailed) {
         m_targetDown = true;
@@ -274,6 +285,7 @@
 
 void ExitCore::stop()
 {
+    m_drainProbe.stop();
     std::vector<std::thread> workers;
     {
         const std::lock_guard lock(m_mutex);
--- a/src/node/exitcore.h
+++ b/src/node/exitcore.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "node/attemptregister.h"
+#include "node/drainprobe.h"
 #include "node/exithandler.h"
 #include "node/exitmetrics.h"
 
@@ -48,6 +49,7 @@
     void end(InboundAttempt &attempt, AttemptEnd end);
     void work();
     void run(const Job &job);
+    void onTargetBack();
     void noteTargetLocked(TimePoint now, const TargetResult &result, bool drains);
     TargetLoad loadLocked(TimePoint now) const;
 
@@ -67,6 +69,7 @@
     bool m_targetDown = false; ///< the last connection to the target failed
     TimePoint m_drainingUntil; ///< the target said that it drains
     bool m_stopping = false;
+    DrainProbe m_drainProbe; ///< last: its thread uses all of the above
 };
 
 } // namespace Fescuenotch
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -32,6 +32,7 @@
     NodeSettings settings;
     std::unique_ptr<MetricsRegistry> metrics = makeMetricsRegistry();
     std::unique_ptr<TimerService> timers = makeThreadTimerService();
+    Counter &drainCut = metrics->counter("fescuenotch_drain_cut_total", "Requests cut because the drain limit passed.");
     NodeContext context;
     InForce inForce;
     std::atomic<bool> leaving{false};
@@ -188,7 +189,7 @@
         std::this_thread::sleep_for(DrainPoll);
     }
     if (p.inFlight() > 0) {
-        p.metrics->counter("fescuenotch_drain_cut_total", "Requests cut because the drain limit passed.").add(p.inFlight());
+        p.drainCut.add(p.inFlight());
         logEvent(LogLevel::Warning, "drain_limit_passed").with("cut", p.inFlight()).with("remedy", "raise --drain-limit or shorten the rules' timeouts");
     }
     logEvent(LogLevel::Info, "node_left");
--- a/src/node/spreaddriver.cpp
+++ b/src/node/spreaddriver.cpp
@@ -287,7 +287,7 @@
         m_counters.configCalls.add();
         auto answer = valueOrError([&] { return m_parts.platform->watchConfig(after, wait); });
         if (const auto *error = std::get_if<Error>(&answer)) {
-            onPlatformError(*error, m_counters.configErrors);
+            onPlatformError(PlatformCall::Config, *error, m_counters.configErrors);
             return;
         }
         std::get<0>(answer).after = after;
@@ -299,21 +299,21 @@
         m_counters.hostCalls.add();
         const auto answer = valueOrError([&] { return m_parts.platform->hosts(); });
         if (const auto *error = std::get_if<Error>(&answer)) {
-            onPlatformError(*error, m_counters.hostErrors);
+            onPlatformError(PlatformCall::Hosts, *error, m_counters.hostErrors);
             return;
         }
         event([&](TimePoint now) { return m_core->onHostList(now, std::get<0>(answer)); });
         refreshPeers();
     }
 
-    void onPlatformError(const Error &error, Counter &counter)
+    void onPlatformError(PlatformCall call, const Error &error, Counter &counter)
     {
         if (m_stopped) {
             return;
         }
         counter.add();
         logEvent(LogLevel::Debug, "platform_call_failed").with(error);
-        event([&](TimePoint now) { return m_core->onPlatformError(now, error); });
+        event([&](TimePoint now) { return m_core->onPlatformError(now, call, error); });
     }
 
     // ---- [actions]
--- a/src/plugins/interfaces.h
+++ b/src/plugins/interfaces.h
@@ -196,6 +196,8 @@
     virtual ~TargetClient() = default;
     /// Runs one exchange on the calling thread; blocks until it ends.
     virtual TargetResult exchange(const TargetRequest &request, TargetSink &sink) = 0;
+    /// True when the target accepts a connection within `limit`; no request is sent. Blocks.
+    virtual bool reachable(const Endpoint &address, milliseconds limit) = 0;
 };
 
 // ---- Callers ----------------------------------------------------------------------------------------------------
--- a/src/plugins/peerlink/link.cpp
+++ b/src/plugins/peerlink/link.cpp
@@ -83,8 +83,8 @@
     const int on = 1;
     setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
     const auto from = toAddress(settings.self.endpoint.host, 0);
-    bind(fd, reinterpret_cast<const sockaddr *>(&from), sizeof from);
-    const std::shared_ptr<Link> link(new Link(fd, true, settings, owner, loop));
+    const bool bound = bind(fd, reinterpret_cast<const sockaddr *>(&from), sizeof from) == 0;
+    std::shared_ptr<Link> link(new Link(fd, true, settings, owner, loop));
     link->m_peer.endpoint = to;
     link->m_peer.kind = settings.self.kind;
     {
@@ -92,8 +92,8 @@
         link->enqueueLocked(encodeHello(settings.self, Clock::now()), true);
     }
     const auto addr = toAddress(to.host, to.port);
-    const int rc = connect(fd, reinterpret_cast<const sockaddr *>(&addr), sizeof addr);
-    if (rc != 0 && errno != EINPROGRESS) {
+    const bool started = bound && (connect(fd, reinterpret_cast<const sockaddr *>(&addr), sizeof addr) == 0 || errno == EINPROGRESS);
+    if (!started) {
         link->close(LinkEnd::ConnectFailed, std::strerror(errno));
         return link;
     }
@@ -132,14 +132,14 @@
 
 // ---- [sending] --------------------------------------------------------------------------------------------------
 
-bool Link::sendMessage(std::string frame)
+bool Link::sendMessage(const std::string &frame)
 {
     const std::lock_guard lock(m_mutex);
     if (m_closed || m_out.size() - m_outTaken + m_held.size() + frame.size() > m_settings.queueLimit) {
         return false;
     }
     m_health.onMessage(Clock::now());
-    enqueueLocked(std::move(frame), false);
+    enqueueLocked(frame, false);
     return true;
 }
 
@@ -149,11 +149,11 @@
     if (m_closed) {
         return false;
     }
-    enqueueLocked(std::move(frame), false);
+    enqueueLocked(frame, false);
     return true;
 }
 
-void Link::enqueueLocked(std::string frame, bool beforeReady)
+void Link::enqueueLocked(const std::string &frame, bool beforeReady)
 {
     m_queuedTotal += frame.size();
     if (!m_ready && !beforeReady) {
@@ -469,7 +469,7 @@
             auto frame = encodeHeartbeat(load, now);
             sent = frame.size();
             m_health.onHeartbeatSent(now);
-            enqueueLocked(std::move(frame), false);
+            enqueueLocked(frame, false);
         }
     }
     if (ends) {
--- a/src/plugins/peerlink/link.h
+++ b/src/plugins/peerlink/link.h
@@ -57,7 +57,7 @@
 
     void openAttempt(const std::shared_ptr<OutboundState> &attempt, const AttemptHead &head);
     /// Queues a message that is not part of an attempt; false when the queue is full or the link is closed.
-    bool sendMessage(std::string frame);
+    bool sendMessage(const std::string &frame);
     /// Heartbeats, silence and idleness. Gives the bytes of the heartbeat it sent.
     std::size_t tick(TimePoint now, const TargetLoad &load);
     void onWake(TimePoint now);
@@ -91,7 +91,7 @@
     bool handlePiece(const Wire::Piece &piece);
     void handleWindow(const Wire::Window &window);
     void handleEnd(const Wire::AttemptEnd &end);
-    void enqueueLocked(std::string frame, bool beforeReady);
+    void enqueueLocked(const std::string &frame, bool beforeReady);
     void writeLocked();
     std::shared_ptr<OutboundState> outbound(std::uint64_t stream) const;
     std::shared_ptr<LinkInboundAttempt> inbound(std::uint64_t stream) const;
--- a/src/plugins/peerlink/transport.cpp
+++ b/src/plugins/peerlink/transport.cpp
@@ -233,10 +233,10 @@
 
     bool sendControl(const Endpoint &to, const std::string &kind, std::string bytes) override
     {
-        auto frame = encodeControl(kind, bytes);
+        const auto frame = encodeControl(kind, bytes);
         const auto n = frame.size();
         const auto link = controlLink(to);
-        if (link == nullptr || !link->sendMessage(std::move(frame))) {
+        if (link == nullptr || !link->sendMessage(frame)) {
             m_counters.droppedControl.add();
             return false;
         }
@@ -290,7 +290,7 @@
             auto &place = shard(to);
             const std::lock_guard lock(place.mutex);
             const auto it = place.accepted.find(to);
-            const auto link = it == place.accepted.end() ? nullptr : it->second.lock();
+            auto link = it == place.accepted.end() ? nullptr : it->second.lock();
             if (link != nullptr && !link->isClosed()) {
                 return link;
             }
--- a/src/plugins/targethttp.cpp
+++ b/src/plugins/targethttp.cpp
@@ -319,6 +319,18 @@
         return result;
     }
 
+    bool reachable(const Endpoint &address, milliseconds limit) override
+    {
+        CurlTransfer transfer;
+        const auto url = "http://" + toString(address) + "/";
+        setCurlOption(transfer.handle(), CURLOPT_URL, url.c_str());
+        setCurlOption(transfer.handle(), CURLOPT_PROXY, "");
+        setCurlOption(transfer.handle(), CURLOPT_NOSIGNAL, 1L);
+        setCurlOption(transfer.handle(), CURLOPT_CONNECT_ONLY, 1L);
+        setCurlOption(transfer.handle(), CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(limit.count()));
+        return transfer.run([] { return false; }, limit) == CURLE_OK;
+    }
+
 private:
     /// The transfer that was used last: its connection is the least likely to be stale.
     std::unique_ptr<CurlTransfer> take()
--- a/src/spread/membership.cpp
+++ b/src/spread/membership.cpp
@@ -102,8 +102,19 @@
         set(now, {listed.host, listed.peer.port, listed.dataCentre, listed.service, 0, 0, state});
         return leaving;
     }
-    const bool young = it->second.entry.incarnation > 0 && now - it->second.processAt < ListLag;
-    return leaving && !wasLeaving && !young && change(now, listed.host, MemberState::Leaving).has_value();
+    return leaving && !wasLeaving && change(now, listed.host, MemberState::Leaving).has_value();
+}
+
+bool Membership::isYoung(TimePoint now, const std::string &host) const
+{
+    const auto it = m_known.find(host);
+    return it != m_known.end() && it->second.entry.incarnation > 0 && now - it->second.processAt < ListLag;
+}
+
+HostState Membership::listedBefore(const std::string &host) const
+{
+    const auto it = m_listed.find(host);
+    return it == m_listed.end() ? HostState::Live : it->second;
 }
 
 std::vector<MemberEntry> Membership::applyList(TimePoint now, const HostList &list)
@@ -111,12 +122,12 @@
     std::map<std::string, HostState> next;
     std::vector<MemberEntry> leaving;
     for (const auto &it : list.hosts) {
-        next[it.host] = it.state;
-        if (it.host == m_self.host) {
+        const bool deferred = it.state == HostState::Leaving && isYoung(now, it.host);
+        next[it.host] = deferred ? listedBefore(it.host) : it.state;
+        if (deferred || it.host == m_self.host) {
             continue;
         }
-        const auto before = m_listed.find(it.host);
-        const bool wasLeaving = before != m_listed.end() && before->second == HostState::Leaving;
+        const bool wasLeaving = listedBefore(it.host) == HostState::Leaving;
         if (learnListed(now, it, wasLeaving)) {
             leaving.push_back(m_known[it.host].entry);
         }
--- a/src/spread/membership.h
+++ b/src/spread/membership.h
@@ -19,7 +19,7 @@
 
 namespace Fescuenotch {
 
-constexpr seconds ListLag{60}; ///< s; the list's word on leaving may be about the process before, when this one is younger
+constexpr seconds ListLag{10}; ///< s; the list's word on leaving may be about the process before, when this one is younger; it is then taken late
 constexpr seconds ForgetAfter{60}; ///< s; how long a dead or leaving host that is not listed stays known
 
 /// A host with its rendezvous weight; lists are sorted by weight, the highest first.
@@ -87,6 +87,8 @@
 
     std::optional<MemberEntry> change(TimePoint now, const std::string &host, MemberState state);
     void set(TimePoint now, const MemberEntry &entry);
+    bool isYoung(TimePoint now, const std::string &host) const; ///< its process came up less than ListLag ago
+    HostState listedBefore(const std::string &host) const; ///< what the list said that was taken last
     bool learnListed(TimePoint now, const HostEntry &listed, bool wasLeaving);
     void rebuildHashes() const;
 
--- a/src/spread/platformquestions.cpp
+++ b/src/spread/platformquestions.cpp
@@ -1,5 +1,7 @@
 #include "spread/platformquestions.h"
 
+#include <algorithm>
+
 namespace Fescuenotch {
 
 PlatformQuestions::PlatformQuestions(double callsPerSecond, double share, std::uint64_t seed)
@@ -7,34 +9,50 @@
 {
 }
 
-bool PlatformQuestions::hostsDue(TimePoint now, bool reader, bool fleetKnown) const
+Duration PlatformQuestions::hostsPeriod(Role role) const
 {
-    return !fleetKnown || (reader && (!m_hostsRead || now - m_hostsAt >= HostsPeriod));
+    if (role != Role::FirstReader) {
+        return HostsPeriod;
+    }
+    return std::clamp<Duration>(m_budget.interval() * HostsPeriodCalls, FirstRankHostsPeriod, HostsPeriod);
 }
 
-PlatformQuestions::Question PlatformQuestions::next(TimePoint now, bool reader, bool fleetKnown)
+bool PlatformQuestions::hostsDue(TimePoint now, Role role, bool fleetKnown) const
 {
-    if (m_out != Kind::None) {
-        if (now - m_askedAt < WatchWait + AnswerLimit) {
+    return !fleetKnown || (role != Role::None && (!m_hostsRead || now - m_hostsAt >= hostsPeriod(role)));
+}
+
+void PlatformQuestions::giveUpLate(TimePoint now)
+{
+    const auto isLate = [now](const std::optional<TimePoint> &askedAt) { return askedAt && now - *askedAt >= WatchWait + AnswerLimit; };
+    if (isLate(m_configAsked)) {
+        onError(now, Kind::Config, milliseconds(0));
+    }
+    if (isLate(m_hostsAsked)) {
+        onError(now, Kind::Hosts, milliseconds(0));
+    }
+}
+
+PlatformQuestions::Question PlatformQuestions::next(TimePoint now, Role role, bool fleetKnown)
+{
+    giveUpLate(now);
+    if (!m_hostsAsked && hostsDue(now, role, fleetKnown)) {
+        if (!m_budget.take(now)) {
             return {};
         }
-        onError(now, milliseconds(0));
+        m_hostsAsked = now;
+        return {Kind::Hosts, 0, milliseconds(0)};
     }
-    const bool hosts = hostsDue(now, reader, fleetKnown);
-    if ((!hosts && !reader) || !m_budget.take(now)) {
+    if (role == Role::None || !fleetKnown || m_configAsked || !m_budget.take(now)) {
         return {};
     }
-    m_out = hosts ? Kind::Hosts : Kind::Config;
-    m_askedAt = now;
-    if (hosts) {
-        return {Kind::Hosts, 0, milliseconds(0)};
-    }
+    m_configAsked = now;
     return {Kind::Config, m_cursor, m_firstWatch ? milliseconds(0) : WatchWait};
 }
 
 bool PlatformQuestions::onConfigPage(TimePoint now, const ConfigPage &page)
 {
-    m_out = Kind::None;
+    m_configAsked.reset();
     m_answeredAt = now;
     m_budget.succeeded();
     if (page.epoch != m_epoch) {
@@ -55,7 +73,7 @@
 
 void PlatformQuestions::onHostList(TimePoint now, std::size_t hosts)
 {
-    m_out = Kind::None;
+    m_hostsAsked.reset();
     m_answeredAt = now;
     m_hostsAt = now;
     m_hostsRead = true;
@@ -63,9 +81,9 @@
     setHosts(hosts);
 }
 
-void PlatformQuestions::onError(TimePoint now, milliseconds retryAfter)
+void PlatformQuestions::onError(TimePoint now, Kind kind, milliseconds retryAfter)
 {
-    m_out = Kind::None;
+    (kind == Kind::Hosts ? m_hostsAsked : m_configAsked).reset();
     ++m_refusals;
     m_budget.refused(now, retryAfter);
 }
--- a/src/spread/platformquestions.h
+++ b/src/spread/platformquestions.h
@@ -1,4 +1,4 @@
-// When this node asks the platform, and for what: one question at a time, the host list before the configuration.
+// When this node asks the platform, and for what: one question of each kind at a time, the host list first of all.
 //
 // How to use: `next` on every tick; the answer or error of the question goes to one of the `on...` functions.
 // The cursor of the watch is what the platform itself said last, never a mark heard from peers: a record that peers
@@ -9,10 +9,13 @@
 #include "spread/callbudget.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace Fescuenotch {
 
-constexpr seconds HostsPeriod{10}; ///< s between two reads of the host list by a reader
+constexpr seconds FirstRankHostsPeriod{2}; ///< s between two reads of the host list by the first rank: a leaving host is known in 3 s
+constexpr seconds HostsPeriod{10}; ///< s between two reads by another reader, and by the first rank of a fleet with a small budget
+constexpr int HostsPeriodCalls = 6; ///< calls of a node at its full pace for each read of the host list
 constexpr milliseconds WatchWait{5'000}; ///< ms that the platform may hold a watch
 constexpr seconds AnswerLimit{10}; ///< s beyond the wait after which a question counts as failed
 
@@ -20,6 +23,11 @@
 {
 public:
     enum class Kind { None, Hosts, Config };
+    enum class Role {
+        None, ///< asks nothing
+        Reader, ///< watches
+        FirstReader, ///< the first rank of its data centre: watches, and reads the host list often
+    };
     struct Question {
         Kind kind = Kind::None;
         std::uint64_t after = 0; ///< revision, of Config
@@ -27,12 +35,12 @@
     };
 
     PlatformQuestions(double callsPerSecond, double share, std::uint64_t seed);
-    /// `reader`: this node watches. A node that does not know the fleet reads the host list.
-    Question next(TimePoint now, bool reader, bool fleetKnown);
+    /// A node that does not know the fleet reads the host list, whatever its role.
+    Question next(TimePoint now, Role role, bool fleetKnown);
     /// True when the whole store has been read.
     bool onConfigPage(TimePoint now, const ConfigPage &page);
     void onHostList(TimePoint now, std::size_t hosts);
-    void onError(TimePoint now, milliseconds retryAfter);
+    void onError(TimePoint now, Kind kind, milliseconds retryAfter);
     /// The fleet's size from other sources than the platform.
     void setHosts(std::size_t hosts);
     /// Time since the platform last answered; `since` before its first answer.
@@ -40,11 +48,13 @@
     std::uint64_t refusals() const;
 
 private:
-    bool hostsDue(TimePoint now, bool reader, bool fleetKnown) const;
+    bool hostsDue(TimePoint now, Role role, bool fleetKnown) const;
+    Duration hostsPeriod(Role role) const;
+    void giveUpLate(TimePoint now);
 
     CallBudget m_budget;
-    Kind m_out = Kind::None; ///< the question that waits for its answer
-    TimePoint m_askedAt{};
+    std::optional<TimePoint> m_configAsked; ///< a question that waits for its answer
+    std::optional<TimePoint> m_hostsAsked; ///< a question that waits for its answer
     bool m_hostsRead = false;
     TimePoint m_hostsAt{};
     bool m_firstWatch = true; ///< the first question after a start or a fall back does not wait
--- a/src/spread/spreadcore.cpp
+++ b/src/spread/spreadcore.cpp
@@ -29,7 +29,7 @@
     SpreadActions onPeerLost(TimePoint now, const Endpoint &peer) override;
     SpreadActions onConfigPage(TimePoint now, const ConfigPage &page) override;
     SpreadActions onHostList(TimePoint now, const HostList &list) override;
-    SpreadActions onPlatformError(TimePoint now, const Error &error) override;
+    SpreadActions onPlatformError(TimePoint now, PlatformCall call, const Error &error) override;
     SpreadActions onWake(TimePoint now, Duration paused) override;
     SpreadActions onInForce(TimePoint now, const std::string &profile, Version version) override;
     SpreadActions leave(TimePoint now) override;
@@ -188,9 +188,10 @@
     return take();
 }
 
-SpreadActions SpreadCoreImpl::onPlatformError(TimePoint now, const Error &error)
+SpreadActions SpreadCoreImpl::onPlatformError(TimePoint now, PlatformCall call, const Error &error)
 {
-    m_questions.onError(now, error.retryAfter);
+    const auto kind = call == PlatformCall::Hosts ? PlatformQuestions::Kind::Hosts : PlatformQuestions::Kind::Config;
+    m_questions.onError(now, kind, error.retryAfter);
     return take();
 }
 
@@ -345,9 +346,11 @@
 
 void SpreadCoreImpl::askPlatform(TimePoint now)
 {
-    const bool reader = isReader(now);
+    using Role = PlatformQuestions::Role;
+    const auto readerRole = m_readers.rank(m_context.ownRanked()) == 0 ? Role::FirstReader : Role::Reader;
+    const auto role = isReader(now) ? readerRole : Role::None;
     m_questions.setHosts(m_members.fleetKnown() ? m_context.members.size() : 0);
-    const auto question = m_questions.next(now, reader, m_members.fleetKnown());
+    const auto question = m_questions.next(now, role, m_members.fleetKnown());
     m_actions.readHosts = question.kind == PlatformQuestions::Kind::Hosts;
     m_actions.watchConfig = question.kind == PlatformQuestions::Kind::Config;
     m_actions.watchAfter = question.after;
--- a/src/spread/spreadcore.h
+++ b/src/spread/spreadcore.h
@@ -41,10 +41,13 @@
     std::string bytes;
 };
 
+/// What the platform is asked for.
+enum class PlatformCall { Config, Hosts };
+
 /// What the owner must do after an event.
 struct SpreadActions {
     std::vector<ControlSend> sends;
-    bool watchConfig = false; ///< ask the platform for changes after `watchAfter`; one question at a time
+    bool watchConfig = false; ///< ask the platform for changes after `watchAfter`; one question of each kind at a time
     std::uint64_t watchAfter = 0; ///< revision
     milliseconds watchWait{0}; ///< ms; how long the platform may hold the question
     bool readHosts = false; ///< ask the platform for the host list
@@ -104,7 +107,7 @@
     virtual SpreadActions onPeerLost(TimePoint now, const Endpoint &peer) = 0; ///< a control link broke or went silent
     virtual SpreadActions onConfigPage(TimePoint now, const ConfigPage &page) = 0;
     virtual SpreadActions onHostList(TimePoint now, const HostList &list) = 0;
-    virtual SpreadActions onPlatformError(TimePoint now, const Error &error) = 0; ///< for whichever question was asked
+    virtual SpreadActions onPlatformError(TimePoint now, PlatformCall call, const Error &error) = 0;
     virtual SpreadActions onWake(TimePoint now, Duration paused) = 0; ///< this process was paused
     virtual SpreadActions onInForce(TimePoint now, const std::string &profile, Version version) = 0; ///< after each swap
     virtual SpreadActions leave(TimePoint now) = 0; ///< this node begins to leave
--- a/tests/node/exithandler_test.cpp
+++ b/tests/node/exithandler_test.cpp
@@ -184,6 +184,24 @@
     BOOST_TEST((stream->wait(Clock::now()).kind == AttemptEvent::Kind::End));
 }
 
+BOOST_AUTO_TEST_CASE(target_drainedAndRestarted_takesWorkAgainWithinSeconds)
+{
+    side.target.script = [](const TargetRequest &, TargetSink &sink) {
+        return answerWith(sink, 503, {{"Fescuenotch-Outcome", "not-run"}, {"Fescuenotch-Draining", "1"}}, "draining");
+    };
+    endOf(offer(false));
+    BOOST_TEST(side.handler->load().leaving);
+    side.target.accepts = false;
+    std::this_thread::sleep_for(milliseconds(400));
+    BOOST_TEST(side.handler->load().leaving);
+    side.target.accepts = true;
+    const auto until = Clock::now() + seconds(3);
+    while (side.handler->load().leaving && Clock::now() < until) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    BOOST_TEST(!side.handler->load().leaving);
+}
+
 BOOST_AUTO_TEST_CASE(target_plain503_isItsOwnAnswer)
 {
     side.target.script = [](const TargetRequest &, TargetSink &sink) { return answerWith(sink, 503, {}, "busy"); };
--- a/tests/node/requestfakes.h
+++ b/tests/node/requestfakes.h
@@ -103,7 +103,12 @@
 {
 public:
     TargetResult exchange(const TargetRequest &request, TargetSink &sink) override;
+    bool reachable(const Endpoint &, milliseconds) override
+    {
+        return accepts;
+    }
 
+    std::atomic<bool> accepts{true}; ///< connections
     std::function<TargetResult(const TargetRequest &, TargetSink &)> script; ///< after mayStart; none: answers 200 with the path
     std::atomic<unsigned> started{0};
     std::atomic<unsigned> running{0};
