--- a/src/config/snapshot.h
+++ b/src/config/snapshot.h
@@ -6,9 +6,10 @@
 
 #include "config/documents.h"
 
-#include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <shared_mutex>
 #include <string>
 
 namespace Fescuenotch {
@@ -23,22 +24,26 @@
 };
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
 
-/// The one pointer that is swapped. Readers never wait.
+/// The one pointer that is swapped. A reader holds the lock only while it copies the pointer.
+/// std::atomic<std::shared_ptr> would do, but that of GCC 12 unlocks its loads without an ordering (a data race).
 class InForce
 {
 public:
     /// The snapshot in force, or null when there is none.
     SnapshotPtr current() const
     {
-        return m_current.load();
+        const std::shared_lock lock(m_mutex);
+        return m_current;
     }
     void swap(SnapshotPtr next)
     {
-        m_current.store(std::move(next));
+        const std::unique_lock lock(m_mutex);
+        m_current.swap(next);
     }
 
 private:
-    std::atomic<SnapshotPtr> m_current;
+    mutable std::shared_mutex m_mutex;
+    SnapshotPtr m_current;
 };
 
 } // namespace Fescuenotch
--- a/src/node/spreaddriver.cpp
+++ b/src/node/spreaddriver.cpp
@@ -152,10 +152,7 @@
         , m_core(makeSpreadCore(toSpreadSettings(parts), *m_store))
         , m_lastTick(Clock::now())
     {
-        parts.metrics->gauge("fescuenotch_stale_pages", "Answers of the platform that were older than what this node holds.", {}, [this] {
-            const std::lock_guard lock(m_mutex);
-            return static_cast<double>(m_store->stalePages());
-        });
+        registerCounts();
     }
 
     ~Driver() override
@@ -240,6 +237,23 @@
     }
 
 private:
+    /// What the core counts, read when the metrics page is written.
+    void registerCounts()
+    {
+        const auto add = [this](const char *name, const char *help, std::uint64_t SpreadCounts::*field) {
+            m_parts.metrics->gauge(name, help, {}, [this, field] {
+                const std::lock_guard lock(m_mutex);
+                return static_cast<double>(m_core->counts().*field);
+            });
+        };
+        add("fescuenotch_stale_pages", "Answers of the platform that were older than what this node holds.", &SpreadCounts::stalePages);
+        add("fescuenotch_bad_control_messages", "Control messages that did not decode.", &SpreadCounts::badMessages);
+        add("fescuenotch_stale_senders", "Control messages of a process that has been replaced at its address.", &SpreadCounts::staleSenders);
+        add("fescuenotch_suspicions", "Members that this node suspected itself.", &SpreadCounts::suspicions);
+        add("fescuenotch_refutations", "Times that other nodes held this node to be gone.", &SpreadCounts::refutations);
+        add("fescuenotch_digest_repairs", "Comparisons with a peer whose records differed.", &SpreadCounts::repairs);
+    }
+
     template<typename F>
     void event(F &&decide)
     {
