--- a/bench/capacity_main.cpp
+++ b/bench/capacity_main.cpp
@@ -6,6 +6,7 @@
 #include <boost/math/statistics/linear_regression.hpp>
 #include <popt.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
@@ -98,12 +99,15 @@
         return;
     }
     const auto [start, slope] = boost::math::statistics::simple_ordinary_least_squares(points.nodes, points.values);
-    const double atFleet = start + slope * FleetNodes;
-    std::printf("| %s | %s | %.4g + %.4g n | %.4g | %s |\n",
+    const bool grows = slope > 0;
+    const double largest = *std::max_element(points.values.begin(), points.values.end());
+    const double atFleet = grows ? start + slope * FleetNodes : largest;
+    std::printf("| %s | %s | %.4g + %.4g n%s | %.4g | %s |\n",
                 figure.title.c_str(),
                 pointText(points).c_str(),
                 start,
                 slope,
+                grows ? "" : "; no growth seen, the largest point is taken",
                 atFleet,
                 verdict(atFleet, figure.bound).c_str());
 }
