One conversion of an endpoint to a socket address; a function nobody called is gone

The conversion stood in the peer link twice and in two stand-ins; it is kernel/socketaddress.h now. AttemptLink::anythingSentSince was never called: the link itself decides what was sent. Behaviour is the same.

--- a/src/plugins/peerlink/attempt.h
+++ b/src/plugins/peerlink/attempt.h
@@ -20,7 +20,6 @@
     virtual ~AttemptLink() = default;
     virtual bool send(std::string frame) = 0; ///< false when the link is closed
     virtual void forget(std::uint64_t stream) = 0; ///< frames for it are late from now on
-    virtual bool anythingSentSince(std::uint64_t offset) const = 0; ///< bytes at or after `offset` were given to the socket
 };
 
 /// Body bytes that may still be sent, granted by the other side.
--- a/src/plugins/peerlink/link.cpp
+++ b/src/plugins/peerlink/link.cpp
@@ -1,6 +1,8 @@
 // Sections: [opening] [sending] [reading] [frames] [time] [closing]
 #include "plugins/peerlink/link.h"
 
+#include "kernel/socketaddress.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -20,15 +22,6 @@
 constexpr int UserTimeoutMs = 3'000; ///< ms; unacknowledged data ends the connection
 constexpr std::size_t CompactOutAfter = 256 * 1024; ///< bytes sent that are kept before the output moves down
 
-sockaddr_in toAddress(const std::string &host, std::uint16_t port)
-{
-    sockaddr_in addr{};
-    addr.sin_family = AF_INET;
-    addr.sin_port = htons(port);
-    inet_pton(AF_INET, host.c_str(), &addr.sin_addr);
-    return addr;
-}
-
 void setSocketOptions(int fd)
 {
     const int on = 1;
@@ -82,7 +75,7 @@
     setSocketOptions(fd);
     const int on = 1;
     setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
-    const auto from = toAddress(settings.self.endpoint.host, 0);
+    const auto from = socketAddress({settings.self.endpoint.host, 0});
     const bool bound = bind(fd, reinterpret_cast<const sockaddr *>(&from), sizeof from) == 0;
     std::shared_ptr<Link> link(new Link(fd, true, settings, owner, loop));
     link->m_peer.endpoint = to;
@@ -91,7 +84,7 @@
         const std::lock_guard lock(link->m_mutex);
         link->enqueueLocked(encodeHello(settings.self, Clock::now()), true);
     }
-    const auto addr = toAddress(to.host, to.port);
+    const auto addr = socketAddress(to);
     const bool started = bound && (connect(fd, reinterpret_cast<const sockaddr *>(&addr), sizeof addr) == 0 || errno == EINPROGRESS);
     if (!started) {
         link->close(LinkEnd::ConnectFailed, std::strerror(errno));
@@ -198,12 +191,6 @@
     m_health.setBusy(Clock::now(), !m_outbound.empty() || !m_inbound.empty());
 }
 
-bool Link::anythingSentSince(std::uint64_t offset) const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_sentTotal > offset;
-}
-
 // ---- [reading] --------------------------------------------------------------------------------------------------
 
 bool Link::onEvent(bool readable, bool writable)
--- a/src/plugins/peerlink/link.h
+++ b/src/plugins/peerlink/link.h
@@ -73,7 +73,6 @@
 
     bool send(std::string frame) override;
     void forget(std::uint64_t stream) override;
-    bool anythingSentSince(std::uint64_t offset) const override;
     int descriptor() const override
     {
         return m_fd;
--- a/src/plugins/peerlink/transport.cpp
+++ b/src/plugins/peerlink/transport.cpp
@@ -2,6 +2,7 @@
 // Sections: [metrics] [listener] [transport] [links] [owner]
 #include "kernel/logging.h"
 #include "kernel/plugin.h"
+#include "kernel/socketaddress.h"
 #include "plugins/peerlink/link.h"
 
 #include <netinet/in.h>
@@ -152,10 +153,7 @@
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in addr{};
-    addr.sin_family = AF_INET;
-    addr.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.host.c_str(), &addr.sin_addr);
+    const auto addr = socketAddress(endpoint);
     if (bind(fd, reinterpret_cast<const sockaddr *>(&addr), sizeof addr) != 0 || listen(fd, ListenBacklog) != 0) {
         const std::string why = std::strerror(errno);
         close(fd);
@@ -177,10 +175,6 @@
     void forget(std::uint64_t) override
     {
     }
-    bool anythingSentSince(std::uint64_t) const override
-    {
-        return false;
-    }
 };
 
 using LinkKey = std::pair<Endpoint, Wire::LinkKind>;
--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "standins/httpserver.h"
 
+#include "kernel/socketaddress.h"
+
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <sys/socket.h>
@@ -158,15 +160,6 @@
     }
 }
 
-sockaddr_in socketAddress(const Endpoint &endpoint)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr);
-    return address;
-}
-
 } // namespace
 
 class HttpServer::Private
--- a/standins/link.cpp
+++ b/standins/link.cpp
@@ -1,5 +1,7 @@
 #include "standins/link.h"
 
+#include "kernel/socketaddress.h"
+
 #include <arpa/inet.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -21,15 +23,6 @@
 constexpr std::size_t MaxHeld = 16 * 1024 * 1024; ///< bytes held by a delay, each way
 constexpr int IdlePollMs = 20; ///< ms; between looks at the faults
 
-sockaddr_in socketAddress(const Endpoint &endpoint)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr);
-    return address;
-}
-
 int connectTo(const Endpoint &endpoint)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
