--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 # make lint       formatter and linter
 BUILD ?= build
 PACKAGES := curl g++ cmake ninja-build libboost1.81-dev libboost-log1.81-dev libboost-test1.81-dev libmicrohttpd-dev \
-	libcurl4-openssl-dev libpopt-dev libflatbuffers-dev nlohmann-json3-dev libxxhash-dev
+	libcurl4-openssl-dev libpopt-dev libflatbuffers-dev nlohmann-json3-dev libxxhash-dev \
+	zlib1g-dev
 LINT_PACKAGES := clang-format clang-tidy
 
 .PHONY: all setup setup-lint configure demo test test-asan test-tsan bench lint format clean
--- a/src/commands/node.cpp
+++ b/src/commands/node.cpp
@@ -1,6 +1,7 @@
 // fescuenotch node: runs one node until SIGTERM or SIGINT.
 #include "node/node.h"
 #include "commands/commands.h"
+#include "commands/meshnode.h"
 #include "kernel/logging.h"
 
 #include <csignal>
@@ -39,6 +40,9 @@
 
 int runNode(const std::vector<std::string> &args)
 {
+    if (namesAdapter(args)) {
+        return runMeshNode(args);
+    }
     if (wantsHelp(args)) {
         std::fputs(nodeHelp().c_str(), stdout);
         return ExitOk;
--- /dev/null
+++ b/src/forward/entryrequest.cpp
@@ -0,0 +1,398 @@
+// Sections: [plan] [body] [sending] [answer] [failures] [end]
+#include "forward/entryrequest.h"
+
+#include "kernel/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr milliseconds DeadlineBackstop{20}; ///< ms; the exit node ends a request at its deadline, this node a little later
+constexpr milliseconds RetryAfterUnknown{250}; ///< ms; told when no exit node said when to come back
+constexpr milliseconds LeastRetryAfter{50}; ///< ms
+constexpr milliseconds NoConfigurationRetryAfter{500}; ///< ms; about the time that a new node takes to learn the configuration
+constexpr unsigned FirstServerError = 500;
+
+std::optional<milliseconds> parseMilliseconds(const std::string *text)
+{
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    milliseconds::rep n = 0;
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), n);
+    const bool sound = ec == std::errc() && n >= 0 && (end == text->data() + text->size() || *end == '.');
+    return sound ? std::optional(milliseconds(n)) : std::nullopt;
+}
+
+/// Seconds with fractions, as the platform's callers take them.
+std::string secondsText(milliseconds time)
+{
+    auto text = std::to_string(time.count() / 1'000) + "." + std::to_string(1'000 + time.count() % 1'000).substr(1);
+    return text;
+}
+
+std::int64_t inMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+} // namespace
+
+// ---- [plan] -----------------------------------------------------------------------------------------------------
+
+EntryRequest::EntryRequest(MeshEntry &core, AnswerWriter &writer, MessageHead head)
+    : m_core(core)
+    , m_writer(writer)
+    , m_head(std::move(head))
+    , m_arrived(core.now())
+{
+}
+
+EntryRequest::~EntryRequest()
+{
+    if (m_stream && m_target) {
+        m_core.picker.onEnded(m_core.now(), m_target->id, SendResult::GivenUp);
+    }
+}
+
+void EntryRequest::start()
+{
+    m_core.metrics.requests.add();
+    if (!plan()) {
+        return;
+    }
+    m_deadlineTimer.start(m_core.loop().timers(), m_deadline - m_arrived + DeadlineBackstop, [this](TimePoint) { onDeadline(); });
+}
+
+bool EntryRequest::plan()
+{
+    const auto &names = m_core.parts().adapter->headers();
+    if (const auto *id = findHeader(m_head.headers, names.requestId)) {
+        m_requestId = *id;
+    }
+    m_table = m_core.table();
+    if (!m_table) {
+        refuse(503, Outcome::NotRun, Reason::NoProfile, NoConfigurationRetryAfter);
+        return false;
+    }
+    const auto *host = findHeader(m_head.headers, "Host");
+    m_route = m_table->match(host == nullptr ? std::string_view() : std::string_view(*host), m_head.target);
+    if (m_route == nullptr) {
+        refuse(404, Outcome::NotRun, Reason::NoRoute, milliseconds(0));
+        return false;
+    }
+    readTimes(m_arrived);
+    prepareHeaders();
+    m_service = m_core.split.choose(*m_route);
+    m_core.repeats.onRequest(m_arrived, m_service);
+    return true;
+}
+
+void EntryRequest::readTimes(TimePoint arrived)
+{
+    const auto told = parseMilliseconds(findHeader(m_head.headers, m_core.parts().adapter->headers().timeLeft));
+    m_deadline = arrived + std::min(m_route->timeout, told.value_or(m_route->timeout));
+    if (told) {
+        m_age = m_core.ages.ageOf(m_route->name, *told);
+    }
+    m_goal = arrived + m_route->latencyGoal - m_age;
+}
+
+void EntryRequest::prepareHeaders()
+{
+    const auto &names = m_core.parts().adapter->headers();
+    m_headers = m_head.headers;
+    removeFramingHeaders(m_headers);
+    std::erase_if(m_headers, [&](const Header &header) {
+        return sameHeaderName(header.name, names.timeLeft) || sameHeaderName(header.name, names.callerService) || sameHeaderName(header.name, names.targetId)
+            || sameHeaderName(header.name, "Expect");
+    });
+    m_headers.push_back({names.callerService, m_core.parts().settings->service});
+}
+
+// ---- [body] -----------------------------------------------------------------------------------------------------
+
+void EntryRequest::onRequestBody(std::string_view bytes, bool last)
+{
+    m_bodyWhole = last;
+    if (m_over) {
+        return;
+    }
+    if (m_streaming) {
+        if (m_stream) {
+            m_stream->sendBody(bytes, last);
+        }
+        return;
+    }
+    m_body.append(bytes);
+    if (m_bodyWhole) {
+        send();
+    } else if (m_body.size() > KeptBodyBytes) {
+        m_streaming = true;
+        send();
+        m_body.clear();
+    }
+}
+
+bool EntryRequest::wantsBody() const
+{
+    return m_over || !m_streaming || !m_stream || m_stream->wantsBody();
+}
+
+void EntryRequest::onBodyWanted()
+{
+    m_writer.onBodyTaken();
+}
+
+// ---- [sending] --------------------------------------------------------------------------------------------------
+
+ForwardRequest EntryRequest::forwardRequest() const
+{
+    ForwardRequest request;
+    request.requestId = m_requestId;
+    request.service = m_service;
+    request.targetId = m_target->id;
+    request.route = m_route->name;
+    request.method = m_head.method;
+    request.path = m_head.target;
+    request.headers = m_headers;
+    request.kind = m_route->kind;
+    request.priority = m_route->priority;
+    request.deadline = m_deadline;
+    request.goal = m_goal;
+    request.bodyLength = m_head.chunked ? std::nullopt : m_head.length;
+    request.body = m_body;
+    request.bodyWhole = m_bodyWhole;
+    if (m_bodyWhole && !m_streaming) {
+        request.bodyLength = m_body.size();
+    }
+    return request;
+}
+
+void EntryRequest::send()
+{
+    const auto now = m_core.now();
+    const PickRequest wanted{m_route->name, m_goal - now, m_tried};
+    const auto &candidates = m_core.candidates(m_service);
+    m_target = m_core.picker.choose(now, candidates, wanted);
+    if (!m_target) {
+        SendEnd end;
+        end.outcome = m_repeats.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+        end.reason = m_tried.empty() || m_retryAfter == milliseconds(0) ? Reason::NoTarget : Reason::QueueFull;
+        endUnanswered(end, m_core.picker.expectedWait(now, candidates));
+        return;
+    }
+    m_sent = true;
+    m_answerStarted = false;
+    m_status = 0;
+    m_tried.push_back(m_target->id);
+    m_stream = m_core.send(*m_target, forwardRequest(), *this);
+}
+
+// ---- [answer] ---------------------------------------------------------------------------------------------------
+
+void EntryRequest::onAnswer(ForwardAnswer answer)
+{
+    m_status = answer.status;
+    if (dropForRepeat(answer.status)) {
+        return;
+    }
+    m_answerStarted = true;
+    m_writer.beginAnswer(answer.status, answer.headers, answer.bodyLength);
+}
+
+/// A target's failure of a request that may run twice is not passed on if another target may be asked.
+bool EntryRequest::dropForRepeat(unsigned status)
+{
+    if (status < FirstServerError || m_streaming) {
+        return false;
+    }
+    SendEnd end;
+    end.outcome = Outcome::Ran;
+    end.reason = Reason::TargetBroke;
+    end.offered = true;
+    end.status = status;
+    auto state = m_repeats;
+    const auto step = m_core.repeats.next(m_core.now(), m_deadline, *m_route, m_service, end, state);
+    if (step != NextStep::Repeat) {
+        return false;
+    }
+    m_repeats = state;
+    m_core.picker.onEnded(m_core.now(), m_target->id, SendResult::Failed);
+    m_core.metrics.onNext(step, end.reason);
+    logStep("repeat", end);
+    m_stream.reset(); // at once: the rest of that answer must not be taken for one of the next target
+    send();
+    return true;
+}
+
+void EntryRequest::onAnswerBody(std::string_view bytes)
+{
+    m_answerBytes += bytes.size();
+    m_writer.answerBody(bytes);
+    m_owed += bytes.size();
+    onBacklogShrunk();
+}
+
+void EntryRequest::onBacklogShrunk()
+{
+    if (m_owed > 0 && m_stream && m_writer.answerBacklog() < StreamWindow) {
+        m_stream->grant(m_owed);
+        m_owed = 0;
+    }
+}
+
+void EntryRequest::onEnded(const ForwardEnd &end)
+{
+    const auto now = m_core.now();
+    m_core.loop().later([ended = std::shared_ptr<ForwardStream>(std::move(m_stream))] {});
+    const auto target = *m_target;
+    if (end.report) {
+        m_core.picker.onReport(now, target.id, *end.report);
+    }
+    if (end.outcome == Outcome::Ran && end.complete && m_answerStarted) {
+        m_core.picker.onEnded(now, target.id, m_status >= FirstServerError ? SendResult::Failed : SendResult::Served);
+        m_core.picker.onAnswerSize(m_route->name, m_answerBytes);
+        const auto status = m_status;
+        m_writer.finishAnswer();
+        finished(status);
+        return;
+    }
+    const bool unreached = end.reason == Reason::LinkLost || (end.reason == Reason::ConnectFailed && !end.report);
+    const auto result = unreached         ? SendResult::NotReached
+        : end.outcome == Outcome::NotRun  ? SendResult::TurnedAway
+        : end.reason == Reason::Cancelled ? SendResult::GivenUp
+                                          : SendResult::Failed;
+    m_core.picker.onEnded(now, target.id, result);
+    afterFailure({end.outcome, end.reason, end.offered || end.outcome == Outcome::Unknown, m_answerStarted, 0}, end.retryAfter);
+}
+
+// ---- [failures] -------------------------------------------------------------------------------------------------
+
+void EntryRequest::afterFailure(const SendEnd &end, milliseconds retryAfter)
+{
+    if (retryAfter > milliseconds(0)) {
+        m_retryAfter = m_retryAfter == milliseconds(0) ? retryAfter : std::min(m_retryAfter, retryAfter);
+    }
+    auto step = m_core.repeats.next(m_core.now(), m_deadline, *m_route, m_service, end, m_repeats);
+    if (m_streaming) {
+        step = NextStep::End;
+    }
+    m_core.metrics.onNext(step, end.reason);
+    if (step == NextStep::End) {
+        endUnanswered(end, m_retryAfter);
+        return;
+    }
+    if (step == NextStep::Repeat) {
+        logStep("repeat", end);
+    }
+    send();
+}
+
+void EntryRequest::endUnanswered(const SendEnd &end, milliseconds retryAfter)
+{
+    if (end.answerStarted) {
+        m_core.metrics.brokenAnswers.add();
+        logStep("answer_broken", end);
+        m_writer.abortAnswer();
+        finished(0);
+        return;
+    }
+    const bool notRun = !m_repeats.mayHaveRun && end.outcome == Outcome::NotRun;
+    const bool late = end.reason == Reason::DeadlinePassed;
+    const bool busy = end.reason == Reason::QueueFull || end.reason == Reason::WaitTooLong;
+    const unsigned status = notRun ? (busy ? 429 : 503) : late ? 504 : 502;
+    refuse(status, notRun ? Outcome::NotRun : Outcome::Unknown, end.reason, retryAfter == milliseconds(0) ? RetryAfterUnknown : retryAfter);
+}
+
+void EntryRequest::refuse(unsigned status, Outcome outcome, Reason reason, milliseconds retryAfter)
+{
+    m_core.metrics.onRefusal(reason);
+    Headers headers{{"Content-Type", "application/json"}, {"Fescuenotch-Outcome", outcomeName(outcome)}};
+    if (outcome == Outcome::NotRun && retryAfter > milliseconds(0)) {
+        headers.push_back({"Retry-After", secondsText(std::max(retryAfter, LeastRetryAfter))});
+    }
+    const nlohmann::ordered_json body{{"reason", reasonName(reason)}, {"remedy", reasonRemedy(reason)}};
+    const auto text = body.dump() + "\n";
+    logEvent(LogLevel::Info, "refused")
+        .with("request", m_requestId)
+        .with("route", m_route == nullptr ? std::string() : m_route->name)
+        .with("service", m_service)
+        .with("status", status)
+        .with("outcome", outcomeName(outcome))
+        .with("reason", reasonName(reason))
+        .with("retry_after_ms", retryAfter.count())
+        .with("tried", m_tried.size())
+        .with("offered", m_repeats.offered)
+        .with("age_ms", inMilliseconds(m_age))
+        .with("held_ms", inMilliseconds(m_core.now() - m_arrived))
+        .with("config", m_table ? m_table->version() : 0);
+    m_writer.beginAnswer(status, headers, text.size());
+    m_writer.answerBody(text);
+    m_writer.finishAnswer();
+    finished(status);
+}
+
+void EntryRequest::onDeadline()
+{
+    if (m_over) {
+        return;
+    }
+    SendEnd end;
+    end.reason = Reason::DeadlinePassed;
+    end.offered = m_sent;
+    end.outcome = m_sent ? Outcome::Unknown : Outcome::NotRun;
+    end.answerStarted = m_answerStarted;
+    if (m_stream) {
+        m_core.picker.onEnded(m_core.now(), m_target->id, SendResult::GivenUp);
+        m_stream.reset();
+    }
+    m_repeats.mayHaveRun = m_repeats.mayHaveRun || m_sent;
+    endUnanswered(end, milliseconds(0));
+}
+
+void EntryRequest::onCallerLeft()
+{
+    if (m_over) {
+        return;
+    }
+    m_core.metrics.callersLeft.add();
+    logEvent(LogLevel::Info, "caller_left")
+        .with("request", m_requestId)
+        .with("route", m_route == nullptr ? std::string() : m_route->name)
+        .with("held_ms", inMilliseconds(m_core.now() - m_arrived))
+        .with("target", m_target ? m_target->id : std::string());
+    finished(0);
+}
+
+// ---- [end] ------------------------------------------------------------------------------------------------------
+
+void EntryRequest::logStep(const char *step, const SendEnd &end) const
+{
+    logEvent(LogLevel::Info, step)
+        .with("request", m_requestId)
+        .with("route", m_route->name)
+        .with("service", m_service)
+        .with("target", m_target ? m_target->id : std::string())
+        .with("reason", reasonName(end.reason))
+        .with("outcome", outcomeName(end.outcome))
+        .with("target_status", end.status)
+        .with("offered", m_repeats.offered)
+        .with("left_ms", inMilliseconds(m_deadline - m_core.now()));
+}
+
+void EntryRequest::finished(unsigned status)
+{
+    m_over = true;
+    m_deadlineTimer.cancel();
+    if (status != 0) {
+        m_core.metrics.onAnswer(m_route == nullptr ? RouteKind::Idempotent : m_route->kind, status, m_core.now() - m_arrived);
+    }
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/forward/meshentry.h
@@ -0,0 +1,99 @@
+// What all requests of an entry node share: the configuration and the targets in force, the choice of a target, the
+// budget for repeats, counters.
+//
+// How to use: the node sets the table and keeps `targets` current; each EntryRequest asks the rest.
+#pragma once
+
+#include "adapter/adapter.h"
+#include "forward/peerlinks.h"
+#include "forward/types.h"
+#include "kernel/metrics.h"
+#include "mesh/repeatpolicy.h"
+#include "mesh/requestage.h"
+#include "mesh/routes.h"
+#include "mesh/targetpicker.h"
+#include "mesh/targets.h"
+
+namespace Fescuenotch {
+
+struct MeshEntryParts {
+    EventLoop *loop = nullptr;
+    const DeploymentSettings *settings = nullptr;
+    const PlatformAdapter *adapter = nullptr;
+    MetricsRegistry *metrics = nullptr;
+    const TargetTable *targets = nullptr;
+    Forwarder *gate = nullptr; ///< to the target on this host
+    PeerLinks *links = nullptr;
+    std::uint64_t seed = 0;
+};
+
+class MeshEntryMetrics
+{
+public:
+    explicit MeshEntryMetrics(MetricsRegistry &registry);
+    void onAnswer(RouteKind kind, unsigned status, Duration took);
+    void onRefusal(Reason reason);
+    void onNext(NextStep step, Reason reason);
+
+    Counter &requests;
+    Counter &callersLeft;
+    Counter &brokenAnswers;
+
+private:
+    std::unordered_map<int, Counter *> m_refusals; ///< by Reason
+    std::unordered_map<int, Counter *> m_repeats; ///< by Reason
+    std::unordered_map<int, Counter *> m_placedAgain; ///< by Reason
+    std::vector<Counter *> m_answers; ///< by class of status
+    std::vector<LatencyHistogram *> m_times; ///< by RouteKind
+};
+
+class MeshEntry
+{
+public:
+    explicit MeshEntry(const MeshEntryParts &parts);
+
+    /// Null while no configuration is known.
+    const RoutingTablePtr &table() const
+    {
+        return m_table;
+    }
+    void setTable(RoutingTablePtr table);
+    const std::vector<TargetRecord> &candidates(const std::string &service);
+    std::unique_ptr<ForwardStream> send(const TargetRecord &target, ForwardRequest request, ForwardListener &listener);
+    Endpoint peerOf(const TargetRecord &target) const;
+    bool isLocal(const TargetRecord &target) const;
+    /// The fleet has changed: shares of what is allowed to all nodes together follow.
+    void onFleetSize(std::size_t nodes);
+
+    const MeshEntryParts &parts() const
+    {
+        return m_parts;
+    }
+    EventLoop &loop() const
+    {
+        return *m_parts.loop;
+    }
+    TimePoint now() const
+    {
+        return m_parts.loop->turnTime();
+    }
+
+    TargetPicker picker;
+    TrafficSplit split;
+    RequestAges ages;
+    RepeatPolicy repeats;
+    MeshEntryMetrics metrics;
+    bool leaving = false;
+
+private:
+    struct Candidates {
+        std::uint64_t generation = 0;
+        std::vector<TargetRecord> targets;
+    };
+
+    MeshEntryParts m_parts;
+    RoutingTablePtr m_table;
+    std::unordered_map<std::string, Candidates> m_candidates; ///< by service
+};
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/forward/meshnode.cpp
@@ -0,0 +1,442 @@
+// Sections: [parts] [pages] [configuration] [targets] [links] [settings and stop]
+#include "forward/meshnode.h"
+
+#include "kernel/logging.h"
+#include "kernel/processmetrics.h"
+
+#include <nlohmann/json.hpp>
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr milliseconds UpkeepPeriod{500}; ///< ms; between looks at held-back removals, links and the settings file
+constexpr milliseconds StopPoll{50}; ///< ms
+constexpr milliseconds ReadinessNotice{2'200}; ///< ms; the platform asks once a second and believes the second miss
+constexpr milliseconds QuietBeforeExit{300}; ///< ms without a new request before the process ends
+constexpr milliseconds StopMargin{700}; ///< ms before SIGKILL at which the process ends whatever runs
+constexpr std::size_t MostPreparedLinks = 128; ///< links opened ahead of use; more targets are linked when chosen
+
+std::uint64_t newIncarnation()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+const char *boolText(bool value)
+{
+    return value ? "yes" : "no";
+}
+
+} // namespace
+
+// ---- [parts] ----------------------------------------------------------------------------------------------------
+
+MeshNode::MeshNode(std::unique_ptr<PlatformAdapter> adapter, const MeshNodeOptions &options)
+    : m_adapter(std::move(adapter))
+    , m_options(options)
+    , m_metrics(makeMetricsRegistry())
+    , m_incarnation(newIncarnation())
+{
+}
+
+MeshNode::~MeshNode()
+{
+    m_worker.reset(); // its jobs use what is destroyed next
+}
+
+Result<void> MeshNode::start()
+{
+    BOOST_LEAF_AUTO(settings, m_adapter->readSettings());
+    m_settings = settings;
+    registerProcessMetrics(*m_metrics);
+    makeParts();
+    BOOST_LEAF_CHECK(listen());
+    m_store->start();
+    m_upkeep.repeat(m_loop.timers(), UpkeepPeriod, [this](TimePoint now) {
+        for (const auto &change : m_targets.tick(now)) {
+            noteChange(change);
+        }
+        onTargetsChanged();
+        prepareLinks();
+        if (settingsFileChanged()) {
+            readChangedSettings();
+        }
+    });
+    logEvent(LogLevel::Info, "node_started")
+        .with("node", m_settings.nodeName)
+        .with("data_centre", m_settings.dataCentre)
+        .with("service", m_settings.service)
+        .with("target", toString(m_settings.targetAddress))
+        .with("callers", toString(m_settings.callerListen))
+        .with("peers", toString(m_settings.peerListen))
+        .with("store", toString(m_settings.store))
+        .with("incarnation", m_incarnation)
+        .with("drain_limit_ms", m_settings.drainLimit.count())
+        .with("stop_limit_ms", m_settings.stopLimit.count());
+    return {};
+}
+
+void MeshNode::makeParts()
+{
+    auto &metrics = *m_metrics;
+    m_configurationsTaken = &metrics.counter("fescuenotch_mesh_configurations_total", "Configurations put in force.");
+    m_configurationsRefused = &metrics.counter("fescuenotch_mesh_configurations_refused_total", "Configurations that cannot be read or are not valid.");
+    m_unreadableEntries = &metrics.counter("fescuenotch_mesh_unreadable_entries_total", "Entries of targets that cannot be read; they name no target.");
+    metrics.gauge("fescuenotch_mesh_configuration_version", "Version of the configuration in force.", {}, [this] {
+        return m_entry->table() ? static_cast<double>(m_entry->table()->version()) : 0.0;
+    });
+    metrics.gauge("fescuenotch_mesh_targets", "Targets that are listed.", {}, [this] { return static_cast<double>(m_targets.size()); });
+    metrics.gauge("fescuenotch_store_age_seconds", "Time since the store's last answer.", {}, [this] {
+        const auto age = m_store->follower().age(m_loop.now());
+        return age == Duration::max() ? -1.0 : std::chrono::duration<double>(age).count();
+    });
+
+    m_worker = std::make_unique<Worker>(m_loop);
+    m_gate = std::make_unique<TargetGate>(m_loop, m_settings, *m_adapter, metrics);
+    m_links = std::make_unique<PeerLinks>(m_loop, LinkIdentity{m_settings.host, m_settings.dataCentre, m_incarnation}, *m_gate, *this, metrics);
+    MeshEntryParts parts;
+    parts.loop = &m_loop;
+    parts.settings = &m_settings;
+    parts.adapter = m_adapter.get();
+    parts.metrics = &metrics;
+    parts.targets = &m_targets;
+    parts.gate = m_gate.get();
+    parts.links = m_links.get();
+    parts.seed = m_incarnation;
+    m_entry = std::make_unique<MeshEntry>(parts);
+    m_callers = std::make_unique<CallerConnections>(*m_entry, metrics);
+    m_pages = std::make_unique<PageServer>(m_loop);
+    StoreFollowerSettings store;
+    store.seed = m_incarnation;
+    store.entriesLapseAfter = m_settings.heartbeat * 2;
+    m_store = std::make_unique<StoreClient>(m_loop, *m_worker, m_settings.store, *m_adapter, store, *this, metrics);
+}
+
+Result<void> MeshNode::listen()
+{
+    addPages();
+    BOOST_LEAF_CHECK(m_links->listen(m_settings.peerListen));
+    BOOST_LEAF_CHECK(m_callers->listen(m_settings.callerListen));
+    BOOST_LEAF_CHECK(m_pages->listen(m_settings.healthListen, "the health address"));
+    if (m_options.pagesListen) {
+        BOOST_LEAF_CHECK(m_pages->listen(*m_options.pagesListen, "--operator-listen"));
+    }
+    return {};
+}
+
+void MeshNode::run()
+{
+    m_loop.run();
+    m_store->stop();
+    logEvent(LogLevel::Info, "node_left").with("in_flight", m_callers->requestsInFlight());
+}
+
+// ---- [pages] ----------------------------------------------------------------------------------------------------
+
+bool MeshNode::isReady() const
+{
+    return m_entry->table() != nullptr && m_hasTargets && !m_stopSince;
+}
+
+void MeshNode::addPages()
+{
+    const auto ready = [this] {
+        const bool ok = isReady();
+        return PageAnswer{ok ? 200U : 503U, "text/plain", ok ? "ready\n" : "not ready\n"};
+    };
+    m_pages->addPage(m_adapter->healthPath(), ready);
+    m_pages->addPage("/readyz", ready);
+    m_pages->addPage("/healthz", [] { return PageAnswer{200, "text/plain", "alive\n"}; });
+    m_pages->addPage("/metrics", [this] { return PageAnswer{200, "text/plain; version=0.0.4", m_metrics->text()}; });
+    m_pages->addPage("/status", [this] { return PageAnswer{200, "application/json", statusText()}; });
+}
+
+std::string MeshNode::statusText() const
+{
+    const auto now = m_loop.now();
+    const auto age = m_store->follower().age(now);
+    nlohmann::ordered_json status;
+    status["node"] = m_settings.nodeName;
+    status["data_centre"] = m_settings.dataCentre;
+    status["ready"] = isReady();
+    status["leaving"] = m_stopSince.has_value();
+    status["configuration"] = m_entry->table() ? m_entry->table()->version() : 0;
+    status["store_age_ms"] = age == Duration::max() ? -1 : std::chrono::duration_cast<milliseconds>(age).count();
+    status["targets"] = nlohmann::json::array();
+    for (const auto &target : m_targets.all()) {
+        status["targets"].push_back({{"id", target.id},
+                                     {"service", target.service},
+                                     {"address", toString(target.address)},
+                                     {"data_centre", target.dataCentre},
+                                     {"state", target.state == TargetState::Ready ? "ready" : "draining"}});
+    }
+    const auto report = m_gate->report();
+    status["own_target"] = {{"id", m_gate->targetId()}, {"running", report.running}, {"waiting", report.waiting}, {"slots", report.limit}};
+    return status.dump() + "\n";
+}
+
+// ---- [configuration] --------------------------------------------------------------------------------------------
+
+void MeshNode::takeConfiguration(const StoreItem &item)
+{
+    if (!item.value) {
+        logEvent(LogLevel::Warning, "configuration_removed").with("revision", item.revision).with("remedy", "the last one stays in force; publish it again");
+        return;
+    }
+    m_nextConfiguration = item;
+    parseNext();
+}
+
+/// Only the newest waits: those between are never needed.
+void MeshNode::parseNext()
+{
+    if (m_parsing || !m_nextConfiguration) {
+        return;
+    }
+    m_parsing = true;
+    const auto item = std::move(*m_nextConfiguration);
+    m_nextConfiguration.reset();
+    m_worker->run(
+        [this, value = *item.value]() -> std::variant<RoutingTablePtr, Error> {
+            return valueOrError([&]() -> Result<RoutingTablePtr> {
+                BOOST_LEAF_AUTO(configuration, m_adapter->decodeConfiguration(value));
+                return RoutingTable::build(std::move(configuration));
+            });
+        },
+        [this, revision = item.revision](std::variant<RoutingTablePtr, Error> parsed) { onParsed(revision, std::move(parsed)); });
+}
+
+void MeshNode::onParsed(std::uint64_t revision, std::variant<RoutingTablePtr, Error> parsed)
+{
+    m_parsing = false;
+    if (const auto *error = std::get_if<Error>(&parsed)) {
+        m_configurationsRefused->add();
+        logEvent(LogLevel::Warning, "configuration_refused").with("revision", revision).with(*error);
+    } else {
+        putInForce(std::move(std::get<RoutingTablePtr>(parsed)), "store");
+    }
+    parseNext();
+}
+
+void MeshNode::putInForce(RoutingTablePtr table, const char *source)
+{
+    const auto before = m_entry->table() ? m_entry->table()->version() : 0;
+    if (m_entry->table() && table->version() <= before) {
+        return;
+    }
+    m_configurationsTaken->add();
+    logEvent(LogLevel::Info, "configuration_in_force")
+        .with("version", table->version())
+        .with("before", before)
+        .with("source", source)
+        .with("routes", table->configuration().routes.size())
+        .with("services", table->configuration().services.size());
+    m_callers->setBounds(table->configuration().bounds);
+    m_entry->setTable(std::move(table));
+}
+
+// ---- [targets] --------------------------------------------------------------------------------------------------
+
+TargetNews MeshNode::decodeNews(const StoreItem &item)
+{
+    TargetNews news{item.id, item.revision, std::nullopt};
+    if (!item.value) {
+        return news;
+    }
+    auto decoded = valueOrError([&] { return m_adapter->decodeTarget(item.id, *item.value); });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        m_unreadableEntries->add();
+        logEvent(LogLevel::Warning, "unreadable_entry").with("target", item.id).with("revision", item.revision).with(*error);
+        return news;
+    }
+    news.record = std::move(std::get<TargetRecord>(decoded));
+    return news;
+}
+
+void MeshNode::noteChange(const TargetChange &change)
+{
+    logEvent(LogLevel::Info, "target")
+        .with("change", targetChangeName(change.kind))
+        .with("target", change.record.id)
+        .with("service", change.record.service)
+        .with("address", toString(change.record.address))
+        .with("data_centre", change.record.dataCentre)
+        .with("cold_ms", change.record.coldFor.count())
+        .with("store_revision", m_storeRevision);
+}
+
+void MeshNode::onStoreUpdate(StoreUpdate update)
+{
+    const auto now = m_loop.turnTime();
+    const auto heldUntil = m_store->follower().removalsHeldUntil();
+    m_storeRevision = std::max(m_storeRevision, update.revision);
+    for (const auto &item : update.items) {
+        if (item.kind == StoreItem::Kind::Configuration) {
+            takeConfiguration(item);
+        } else if (item.kind == StoreItem::Kind::Target) {
+            if (const auto change = m_targets.apply(now, decodeNews(item), heldUntil)) {
+                noteChange(*change);
+            }
+        }
+    }
+    if (update.listingEnds) {
+        std::vector<TargetNews> listing;
+        for (const auto &item : update.listing) {
+            if (item.kind == StoreItem::Kind::Target) {
+                listing.push_back(decodeNews(item));
+            }
+        }
+        for (const auto &change : m_targets.applyListing(now, listing, update.revision, heldUntil)) {
+            noteChange(change);
+        }
+        m_hasTargets = true;
+    }
+    onTargetsChanged();
+}
+
+void MeshNode::onStoreAway(StoreFailure)
+{
+}
+
+void MeshNode::onTargetsChanged()
+{
+    m_gate->setTarget(m_targets.atAddress(m_settings.targetAddress));
+    std::set<std::string> hosts;
+    for (const auto &target : m_targets.all()) {
+        hosts.insert(target.address.host);
+        if (m_entry->isLocal(target)) {
+            m_entry->picker.onReachable(target.id);
+        } else if (m_links->isUp(m_entry->peerOf(target))) {
+            m_entry->picker.onLinked(target.id);
+        }
+    }
+    m_entry->picker.forgetAllBut(m_targets.all());
+    m_entry->onFleetSize(hosts.size());
+}
+
+void MeshNode::prepareLinks()
+{
+    std::size_t n = 0;
+    for (const auto &target : m_targets.all()) {
+        const bool wanted = target.state == TargetState::Ready && !m_entry->isLocal(target) && !m_stopSince;
+        if (wanted && ++n <= MostPreparedLinks) {
+            m_links->prepare(m_entry->peerOf(target));
+        }
+    }
+}
+
+// ---- [links] ----------------------------------------------------------------------------------------------------
+
+void MeshNode::onLinkUp(const Endpoint &peer)
+{
+    for (const auto &target : m_targets.all()) {
+        if (target.address.host == peer.host) {
+            m_entry->picker.onReachable(target.id);
+        }
+    }
+}
+
+void MeshNode::onLinkLost(const Endpoint &peer, CloseCause)
+{
+    for (const auto &target : m_targets.all()) {
+        if (target.address.host == peer.host) {
+            m_entry->picker.onUnreachable(m_loop.turnTime(), target.id);
+        }
+    }
+}
+
+void MeshNode::onPulse(const Endpoint &, const LinkPulse &pulse)
+{
+    if (!pulse.targetId.empty()) {
+        m_entry->picker.onReport(m_loop.turnTime(), pulse.targetId, pulse.report);
+    }
+}
+
+LinkPulse MeshNode::ownPulse()
+{
+    return {m_gate->targetId(), m_gate->report(), m_entry->table() ? m_entry->table()->version() : 0, m_storeRevision};
+}
+
+void MeshNode::onStateNews(const MeshWire::StateNews &)
+{
+}
+
+std::string MeshNode::onStateRequest(const MeshWire::StateRequest &)
+{
+    return {};
+}
+
+// ---- [settings and stop] ----------------------------------------------------------------------------------------
+
+void MeshNode::reload()
+{
+    m_loop.post([this] { readChangedSettings(); });
+}
+
+/// The platform may replace the file without a signal.
+bool MeshNode::settingsFileChanged()
+{
+    struct stat now = {};
+    if (::stat(m_adapter->settingsPath().c_str(), &now) != 0) {
+        return false;
+    }
+    const std::tuple seen{now.st_ino, now.st_size, now.st_mtim.tv_sec, now.st_mtim.tv_nsec};
+    const bool changed = m_settingsFile && *m_settingsFile != seen;
+    m_settingsFile = seen;
+    return changed;
+}
+
+void MeshNode::readChangedSettings()
+{
+    const auto read = valueOrError([&] { return m_adapter->readSettings(); });
+    if (const auto *error = std::get_if<Error>(&read)) {
+        logEvent(LogLevel::Warning, "settings_not_reloaded").with(*error);
+        return;
+    }
+    const auto &settings = std::get<DeploymentSettings>(read);
+    if (settings == m_settings) {
+        return;
+    }
+    logEvent(LogLevel::Info, "settings_reloaded").with("service", settings.service).with("target", toString(settings.targetAddress));
+    m_settings = settings;
+}
+
+void MeshNode::beginStop()
+{
+    m_loop.post([this] {
+        if (m_stopSince) {
+            return;
+        }
+        m_stopSince = m_loop.turnTime();
+        logEvent(LogLevel::Info, "node_leaving")
+            .with("in_flight", m_callers->requestsInFlight())
+            .with("at_target", m_gate->inFlight())
+            .with("ready", boolText(false));
+        m_gate->beginLeaving();
+        m_links->pulseNow(); // peers learn that this node leaves
+        m_callers->beginLeaving();
+        m_stopTimer.repeat(m_loop.timers(), StopPoll, [this](TimePoint now) { checkStop(now); });
+    });
+}
+
+void MeshNode::checkStop(TimePoint now)
+{
+    const auto since = now - *m_stopSince;
+    const bool quiet = m_callers->requestsInFlight() == 0 && m_gate->inFlight() == 0 && now - m_callers->lastRequestAt() > QuietBeforeExit;
+    const bool done = quiet && since > ReadinessNotice;
+    if (!done && since < m_settings.stopLimit - StopMargin) {
+        return;
+    }
+    m_stopTimer.cancel();
+    m_callers->closeIdle();
+    m_loop.stop();
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/forward/peerlinks.h
@@ -0,0 +1,88 @@
+// Links between nodes: requests out to the nodes beside other targets, requests in from other nodes.
+//
+// One TCP connection from each entry node to each exit node that it sends to; many requests share it. The exit node
+// sends a pulse with its target's report at least each `PulsePeriod`, so that a link that went silent without a reset is
+// found within `SilenceLimit`. A lost link ends its requests: as not run those whose bytes never left, as unknown the
+// others. The next request opens a new link.
+//
+// How to use: `listen` once; `open` a request to a peer; `pulseNow` at a stop, so that peers hear of it at once.
+// `LinkEvents` tells what peers say.
+// Pitfall: answers of many requests share a link, so bodies are cut into pieces and take turns, small ones first.
+#pragma once
+
+#include "forward/linkcodec.h"
+#include "kernel/metrics.h"
+#include "loop/tcpstream.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace Fescuenotch {
+
+constexpr milliseconds PulsePeriod{400}; ///< ms; three of them fit into the time in which a lost peer must be found
+constexpr milliseconds SilenceLimit{1'300}; ///< ms; a link that gave nothing for so long is lost
+constexpr milliseconds LinkConnectLimit{600}; ///< ms; far above the way between data centres of a region
+constexpr milliseconds UnusedLinkLimit{60'000}; ///< ms; a link that carried no request for so long is closed
+
+class LinkEvents
+{
+public:
+    virtual ~LinkEvents() = default;
+    virtual void onLinkUp(const Endpoint &peer) = 0;
+    virtual void onLinkLost(const Endpoint &peer, CloseCause cause) = 0;
+    virtual void onPulse(const Endpoint &peer, const LinkPulse &pulse) = 0; ///< `peer` as it was linked to
+    virtual LinkPulse ownPulse() = 0; ///< for the pulses of this node
+    virtual void onStateNews(const MeshWire::StateNews &news) = 0;
+    /// Gives the frame that answers; empty: nothing to tell.
+    virtual std::string onStateRequest(const MeshWire::StateRequest &request) = 0;
+};
+
+class PeerLinks
+{
+public:
+    PeerLinks(EventLoop &loop, const LinkIdentity &self, Forwarder &gate, LinkEvents &events, MetricsRegistry &metrics);
+    ~PeerLinks();
+
+    Result<void> listen(const Endpoint &endpoint);
+    /// A peer that cannot be reached ends the request as not run.
+    std::unique_ptr<ForwardStream> open(const Endpoint &peer, ForwardRequest request, ForwardListener &listener);
+    /// Opens a link ahead of its first request.
+    void prepare(const Endpoint &peer);
+    /// Sends a frame to a peer, opening the link if need be.
+    void sendState(const Endpoint &peer, const std::string &frame);
+    /// Sends a frame to every node that is linked to this one.
+    void sendToLinked(const std::string &frame);
+    /// Tells linked nodes at once that the target's report has changed much.
+    void pulseNow();
+    bool isUp(const Endpoint &peer) const;
+    std::vector<Endpoint> linkedPeers() const;
+
+private:
+    class OutboundLink;
+    class InboundLink;
+    friend class OutboundLink;
+    friend class InboundLink;
+
+    OutboundLink &linkTo(const Endpoint &peer);
+    void accept(int fd);
+    void endOutbound(OutboundLink &link);
+    void endInbound(InboundLink &link);
+    void tick(TimePoint now);
+
+    EventLoop &m_loop;
+    LinkIdentity m_self;
+    Forwarder &m_gate;
+    LinkEvents &m_events;
+    std::unique_ptr<TcpListener> m_listener;
+    std::map<Endpoint, std::unique_ptr<OutboundLink>> m_outbound;
+    std::map<InboundLink *, std::unique_ptr<InboundLink>> m_inbound;
+    ScopedTimer m_timer;
+
+    Counter &m_opened;
+    Counter &m_lost;
+    Counter &m_lostRequests;
+    Counter &m_badFrames;
+};
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/http1/messagereader.cpp
@@ -0,0 +1,429 @@
+// Sections: [parsers] [reading] [writing]
+#include "http1/messagereader.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace Fescuenotch {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using ErrorCode = beast::error_code;
+using Text = beast::string_view;
+
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+constexpr unsigned FirstFinalStatus = 200;
+
+std::string copyOf(Text text)
+{
+    return {text.data(), text.size()};
+}
+
+/// True for line folds, null bytes and line ends that are not CRLF.
+bool hasLenientShape(std::string_view head)
+{
+    for (std::size_t n = 0; n < head.size(); ++n) {
+        const char c = head[n];
+        if (c == '\0' || (c == '\r' && (n + 1 == head.size() || head[n + 1] != '\n'))) {
+            return true;
+        }
+        if (c != '\n') {
+            continue;
+        }
+        const bool afterReturn = n > 0 && head[n - 1] == '\r';
+        const bool foldFollows = n + 1 < head.size() && (head[n + 1] == ' ' || head[n + 1] == '\t');
+        if (!afterReturn || foldFollows) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+// ---- [parsers] --------------------------------------------------------------------------------------------------
+
+/// What both directions share: fields go to the head, body bytes to a string.
+class MessageReader::Parser
+{
+public:
+    virtual ~Parser() = default;
+    virtual std::size_t put(std::string_view bytes, ErrorCode &ec) = 0;
+    virtual void putEnd(ErrorCode &ec) = 0;
+    virtual bool isDone() const = 0;
+    virtual void fillHead(MessageHead &head) const = 0;
+
+    MessageHead *head = nullptr;
+    std::string *body = nullptr;
+    bool headDone = false;
+
+protected:
+    void takeField(Text name, Text value) const
+    {
+        if (!headDone) {
+            head->headers.push_back({copyOf(name), copyOf(value)});
+        }
+    }
+
+    std::size_t takeBody(Text bytes) const
+    {
+        body->append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    template<typename Basic>
+    static std::size_t putInto(Basic &parser, std::string_view bytes, ErrorCode &ec)
+    {
+        std::size_t taken = 0;
+        while (!parser.is_done() && taken < bytes.size()) {
+            const auto n = parser.put(boost::asio::const_buffer(bytes.data() + taken, bytes.size() - taken), ec);
+            taken += n;
+            if (ec || n == 0) {
+                break;
+            }
+        }
+        if (ec == http::error::need_more) {
+            ec = {};
+        }
+        return taken;
+    }
+
+    template<typename Basic>
+    static void fillFraming(const Basic &parser, MessageHead &head)
+    {
+        head.chunked = parser.chunked();
+        head.keepAlive = parser.keep_alive();
+        if (const auto n = parser.content_length()) {
+            head.length = *n;
+        }
+    }
+};
+
+class MessageReader::RequestParser final : public MessageReader::Parser, public http::basic_parser<true>
+{
+public:
+    std::size_t put(std::string_view bytes, ErrorCode &ec) override
+    {
+        return putInto<http::basic_parser<true>>(*this, bytes, ec);
+    }
+
+    void putEnd(ErrorCode &ec) override
+    {
+        put_eof(ec);
+    }
+
+    bool isDone() const override
+    {
+        return is_done();
+    }
+
+    void fillHead(MessageHead &out) const override
+    {
+        fillFraming(static_cast<const http::basic_parser<true> &>(*this), out);
+        if (!out.chunked && !out.length) {
+            out.length = 0;
+        }
+    }
+
+private:
+    void on_request_impl(http::verb, Text method, Text target, int version, ErrorCode &) override
+    {
+        head->method = copyOf(method);
+        head->target = copyOf(target);
+        head->isHttp11 = version == 11;
+    }
+
+    void on_response_impl(int, Text, int, ErrorCode &) override
+    {
+    }
+
+    void on_field_impl(http::field, Text name, Text value, ErrorCode &) override
+    {
+        takeField(name, value);
+    }
+
+    void on_header_impl(ErrorCode &) override
+    {
+        headDone = true;
+    }
+
+    void on_body_init_impl(boost::optional<std::uint64_t> const &, ErrorCode &) override
+    {
+    }
+
+    std::size_t on_body_impl(Text bytes, ErrorCode &) override
+    {
+        return takeBody(bytes);
+    }
+
+    void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, Text bytes, ErrorCode &) override
+    {
+        return takeBody(bytes);
+    }
+
+    void on_finish_impl(ErrorCode &) override
+    {
+    }
+};
+
+class MessageReader::AnswerParser final : public MessageReader::Parser, public http::basic_parser<false>
+{
+public:
+    std::size_t put(std::string_view bytes, ErrorCode &ec) override
+    {
+        return putInto<http::basic_parser<false>>(*this, bytes, ec);
+    }
+
+    void putEnd(ErrorCode &ec) override
+    {
+        put_eof(ec);
+    }
+
+    bool isDone() const override
+    {
+        return is_done();
+    }
+
+    void fillHead(MessageHead &out) const override
+    {
+        fillFraming(static_cast<const http::basic_parser<false> &>(*this), out);
+        out.endsWithConnection = need_eof();
+        if (is_done()) {
+            out.length = out.length.value_or(0);
+        }
+    }
+
+private:
+    void on_request_impl(http::verb, Text, Text, int, ErrorCode &) override
+    {
+    }
+
+    void on_response_impl(int code, Text, int version, ErrorCode &) override
+    {
+        head->status = static_cast<unsigned>(code);
+        head->isHttp11 = version == 11;
+    }
+
+    void on_field_impl(http::field, Text name, Text value, ErrorCode &) override
+    {
+        takeField(name, value);
+    }
+
+    void on_header_impl(ErrorCode &) override
+    {
+        headDone = true;
+    }
+
+    void on_body_init_impl(boost::optional<std::uint64_t> const &, ErrorCode &) override
+    {
+    }
+
+    std::size_t on_body_impl(Text bytes, ErrorCode &) override
+    {
+        return takeBody(bytes);
+    }
+
+    void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, Text bytes, ErrorCode &) override
+    {
+        return takeBody(bytes);
+    }
+
+    void on_finish_impl(ErrorCode &) override
+    {
+    }
+};
+
+// ---- [reading] --------------------------------------------------------------------------------------------------
+
+MessageReader::MessageReader(Kind kind, const MessageLimits &limits)
+    : m_kind(kind)
+    , m_limits(limits)
+{
+    makeParser();
+}
+
+MessageReader::~MessageReader() = default;
+
+void MessageReader::makeParser()
+{
+    const auto prepare = [&](auto &parser) {
+        parser.eager(true);
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeadBytes + HeadEnd.size()));
+        parser.body_limit(m_limits.maxBodyBytes);
+    };
+    if (m_kind == Kind::Request) {
+        auto parser = std::make_unique<RequestParser>();
+        prepare(*parser);
+        m_parser = std::move(parser);
+    } else {
+        auto parser = std::make_unique<AnswerParser>();
+        prepare(*parser);
+        parser->skip(m_noBody);
+        m_parser = std::move(parser);
+    }
+    m_head = {};
+    m_headRead = false;
+    m_parser->head = &m_head;
+}
+
+void MessageReader::expectNoBody()
+{
+    m_noBody = true;
+    makeParser();
+}
+
+void MessageReader::next()
+{
+    m_noBody = false;
+    makeParser();
+}
+
+MessageReader::Step MessageReader::readHead(std::string &input)
+{
+    for (;;) {
+        // Empty lines between messages are allowed (RFC 9112, 2.2).
+        input.erase(0, input.compare(0, 2, "\r\n") == 0 ? 2 : 0);
+        const auto end = input.find(HeadEnd);
+        if (end == std::string::npos) {
+            return input.size() > m_limits.maxHeadBytes ? Step::HeadTooLarge : Step::NeedMore;
+        }
+        const auto size = end + HeadEnd.size();
+        if (size > m_limits.maxHeadBytes) {
+            return Step::HeadTooLarge;
+        }
+        const std::string_view bytes(input.data(), size);
+        if (hasLenientShape(bytes)) {
+            return Step::Broken;
+        }
+        std::string none;
+        m_parser->body = &none;
+        ErrorCode ec;
+        const auto taken = m_parser->put(bytes, ec);
+        if (ec == http::error::body_limit) {
+            return Step::BodyTooLarge;
+        }
+        if (ec || taken != size || !m_parser->headDone) {
+            return Step::Broken;
+        }
+        input.erase(0, size);
+        m_head.headBytes = size;
+        if (m_kind == Kind::Answer && m_head.status < FirstFinalStatus) {
+            makeParser(); // interim answers are not passed on
+            continue;
+        }
+        m_parser->fillHead(m_head);
+        m_headRead = true;
+        return Step::Done;
+    }
+}
+
+MessageReader::Step MessageReader::readBody(std::string &input, std::string &body)
+{
+    if (m_parser->isDone()) {
+        return Step::Done;
+    }
+    m_parser->body = &body;
+    ErrorCode ec;
+    const auto taken = m_parser->put(input, ec);
+    input.erase(0, taken);
+    if (ec == http::error::body_limit) {
+        return Step::BodyTooLarge;
+    }
+    if (ec) {
+        return Step::Broken;
+    }
+    return m_parser->isDone() ? Step::Done : Step::NeedMore;
+}
+
+bool MessageReader::endOfStream()
+{
+    if (!m_headRead) {
+        return false;
+    }
+    if (m_parser->isDone()) {
+        return true;
+    }
+    if (!m_head.endsWithConnection) {
+        return false;
+    }
+    ErrorCode ec;
+    m_parser->putEnd(ec);
+    return !ec;
+}
+
+// ---- [writing] --------------------------------------------------------------------------------------------------
+
+namespace {
+
+void appendHeaders(std::string &text, const Headers &headers)
+{
+    for (const auto &header : headers) {
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+}
+
+void appendDelimiter(std::string &text, const BodyDelimiter &delimiter)
+{
+    if (delimiter.chunked) {
+        text += "Transfer-Encoding: chunked\r\n";
+    } else if (delimiter.length) {
+        text.append("Content-Length: ").append(std::to_string(*delimiter.length)).append("\r\n");
+    }
+}
+
+} // namespace
+
+std::string formatRequestHead(const std::string &method, const std::string &target, const Headers &headers, const BodyDelimiter &delimiter)
+{
+    std::string text;
+    text.reserve(512);
+    text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+    appendHeaders(text, headers);
+    appendDelimiter(text, delimiter);
+    return text.append("\r\n");
+}
+
+std::string formatAnswerHead(unsigned status, const Headers &headers, const BodyDelimiter &delimiter, bool closes)
+{
+    const auto reason = http::obsolete_reason(http::int_to_status(status));
+    std::string text;
+    text.reserve(512);
+    text.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason.data(), reason.size()).append("\r\n");
+    appendHeaders(text, headers);
+    appendDelimiter(text, delimiter);
+    if (closes) {
+        text += "Connection: close\r\n";
+    }
+    return text.append("\r\n");
+}
+
+std::string formatChunk(std::string_view bytes)
+{
+    std::array<char, 24> size{};
+    const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string text(size.data(), static_cast<std::size_t>(n));
+    return text.append(bytes).append("\r\n");
+}
+
+void removeFramingHeaders(Headers &headers)
+{
+    removeHopByHopHeaders(headers);
+    std::erase_if(headers, [](const Header &header) { return sameHeaderName(header.name, "Content-Length"); });
+}
+
+} // namespace Fescuenotch
--- a/src/kernel/logging.cpp
+++ b/src/kernel/logging.cpp
@@ -1,9 +1,13 @@
 #include "kernel/logging.h"
 
+#include "kernel/logring.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
@@ -37,6 +41,45 @@
     return instance;
 }
 
+constexpr std::string_view LevelField = " level=";
+
+/// Hands formatted lines to a LogRing.
+class RingBackend final : public logs::sinks::basic_formatted_sink_backend<char, logs::sinks::concurrent_feeding>
+{
+public:
+    RingBackend()
+        : m_ring(LogRingSettings{})
+    {
+    }
+
+    void consume(const logs::record_view &, const string_type &line)
+    {
+        m_ring.push(line, isImportant(line));
+    }
+
+    void stop()
+    {
+        constexpr milliseconds LastWrites{200};
+        m_ring.stop(LastWrites);
+    }
+
+private:
+    static bool isImportant(const std::string &line)
+    {
+        const auto at = line.find(LevelField);
+        const auto level = at == std::string::npos ? '\0' : line[at + LevelField.size()];
+        return level == 'w' || level == 'e';
+    }
+
+    LogRing m_ring;
+};
+
+boost::shared_ptr<RingBackend> &ringBackend()
+{
+    static boost::shared_ptr<RingBackend> backend;
+    return backend;
+}
+
 /// Wall time in UTC with milliseconds: 2026-01-31T12:00:00.123Z.
 std::string timestamp()
 {
@@ -126,6 +169,24 @@
     logs::core::get()->add_sink(sink);
 }
 
+void startBoundedLogging(LogLevel lowest, const std::string &host)
+{
+    lowestLevel = lowest;
+    hostField() = host;
+    ringBackend() = boost::make_shared<RingBackend>();
+    auto sink = boost::make_shared<logs::sinks::unlocked_sink<RingBackend>>(ringBackend());
+    sink->set_formatter(logs::expressions::stream << logs::expressions::smessage);
+    logs::core::get()->remove_all_sinks();
+    logs::core::get()->add_sink(sink);
+}
+
+void stopBoundedLogging()
+{
+    if (ringBackend()) {
+        ringBackend()->stop();
+    }
+}
+
 LogLine::LogLine(LogLevel level, std::string_view event)
     : m_enabled(level >= lowestLevel.load(std::memory_order_relaxed))
     , m_level(level)
@@ -133,7 +194,7 @@
     if (!m_enabled) {
         return;
     }
-    m_text = "time=" + timestamp() + " level=" + LevelNames[static_cast<std::size_t>(m_level)] + " event=";
+    m_text = "time=" + timestamp() + std::string(LevelField) + LevelNames[static_cast<std::size_t>(m_level)] + " event=";
     m_text += event;
     if (!hostField().empty()) {
         with("host", hostField());
--- a/src/kernel/logging.h
+++ b/src/kernel/logging.h
@@ -1,4 +1,5 @@
-// Structured logs: one line of key=value pairs for each event, to standard error, by Boost.Log.
+// Structured logs: one line of key=value pairs for each event, by Boost.Log, to standard error or, bounded, to standard
+// output.
 //
 // How to use: `logEvent(LogLevel::Info, "profile_in_force").with("profile", name).with("revision", 42);`
 // The line is written when the temporary ends. Values with spaces, quotes or control characters are quoted and escaped.
@@ -21,6 +22,11 @@
 /// Sets the lowest level written and the `host` that each line carries. Call once at start.
 void startLogging(LogLevel lowest, const std::string &host);
 
+/// As startLogging, but to standard output through a bounded store that never makes the writer of a line wait.
+void startBoundedLogging(LogLevel lowest, const std::string &host);
+/// Writes out what is stored, at the end of the program.
+void stopBoundedLogging();
+
 /// One event being put together; written by its destructor.
 class LogLine
 {
--- /dev/null
+++ b/src/loop/eventloop.cpp
@@ -0,0 +1,289 @@
+// Sections: [timers] [loop] [scoped timer]
+#include "loop/eventloop.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <system_error>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr int EventsPerTurn = 128; ///< sockets served before timers are looked at again
+constexpr milliseconds LongestWait{60'000}; ///< ms; the loop looks at its timers at least this often
+
+TimePoint readBootClock()
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+} // namespace
+
+// ---- [timers] ---------------------------------------------------------------------------------------------------
+
+LoopTimers::LoopTimers(std::function<TimePoint()> clock)
+    : m_clock(std::move(clock))
+{
+}
+
+TimerId LoopTimers::add(Duration delay, Timer timer)
+{
+    const auto id = m_nextId++;
+    const auto due = m_clock() + std::max(delay, Duration(0));
+    m_queue.emplace(Due{due, id}, std::move(timer));
+    m_dueOf.emplace(id, due);
+    return id;
+}
+
+TimerId LoopTimers::every(Duration period, std::function<void(TimePoint now)> callback)
+{
+    return add(period, {std::max<Duration>(period, milliseconds(1)), std::move(callback)});
+}
+
+TimerId LoopTimers::after(Duration delay, std::function<void(TimePoint now)> callback)
+{
+    return add(delay, {Duration(0), std::move(callback)});
+}
+
+void LoopTimers::cancel(TimerId id)
+{
+    const auto it = m_dueOf.find(id);
+    if (it == m_dueOf.end()) {
+        return;
+    }
+    m_queue.erase({it->second, id});
+    m_dueOf.erase(it);
+}
+
+void LoopTimers::onLateWake(Duration threshold, std::function<void(TimePoint now, Duration lateness)> callback)
+{
+    m_lateWakes.push_back({threshold, std::move(callback)});
+}
+
+void LoopTimers::stop()
+{
+    m_queue.clear();
+    m_dueOf.clear();
+}
+
+TimePoint LoopTimers::nextDue() const
+{
+    return m_queue.empty() ? TimePoint::max() : m_queue.begin()->first.first;
+}
+
+void LoopTimers::run(TimePoint now)
+{
+    if (nextDue() > now) {
+        return;
+    }
+    const auto lateness = now - nextDue();
+    for (const auto &each : m_lateWakes) {
+        if (lateness > each.threshold) {
+            each.callback(now, lateness);
+        }
+    }
+    while (nextDue() <= now) {
+        auto node = m_queue.extract(m_queue.begin());
+        const auto id = node.key().second;
+        auto timer = std::move(node.mapped());
+        if (timer.period == Duration(0)) {
+            m_dueOf.erase(id);
+            timer.callback(now);
+            continue;
+        }
+        const auto due = now + timer.period;
+        m_dueOf[id] = due;
+        const auto callback = timer.callback;
+        m_queue.emplace(Due{due, id}, std::move(timer));
+        callback(now);
+    }
+}
+
+// ---- [loop] -----------------------------------------------------------------------------------------------------
+
+/// Ends a wait of the loop from another thread.
+class EventLoop::Waker final : public SocketWatcher
+{
+public:
+    Waker()
+        : m_fd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+    }
+
+    ~Waker() override
+    {
+        ::close(m_fd);
+    }
+
+    int fd() const
+    {
+        return m_fd;
+    }
+
+    void wake() const
+    {
+        const std::uint64_t one = 1;
+        // A full counter means that the loop is woken already.
+        static_cast<void>(!::write(m_fd, &one, sizeof one));
+    }
+
+    void onReady(std::uint32_t) override
+    {
+        std::uint64_t count = 0;
+        static_cast<void>(!::read(m_fd, &count, sizeof count));
+    }
+
+private:
+    int m_fd;
+};
+
+EventLoop::EventLoop()
+    : m_epoll(::epoll_create1(EPOLL_CLOEXEC))
+    , m_timers(readBootClock)
+    , m_turnTime(readBootClock())
+    , m_waker(std::make_unique<Waker>())
+{
+    if (m_epoll < 0 || m_waker->fd() < 0 || watch(m_waker->fd(), *m_waker) == 0) {
+        throw std::system_error(errno, std::generic_category(), "the event loop has no descriptors; raise the limit of open files");
+    }
+}
+
+EventLoop::~EventLoop()
+{
+    ::close(m_epoll);
+}
+
+WatchId EventLoop::watch(int fd, SocketWatcher &watcher)
+{
+    const auto id = m_nextWatch++;
+    epoll_event event{};
+    event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+    event.data.u64 = id;
+    if (::epoll_ctl(m_epoll, EPOLL_CTL_ADD, fd, &event) != 0) {
+        return 0;
+    }
+    m_watchers.emplace(id, &watcher);
+    return id;
+}
+
+void EventLoop::unwatch(int fd, WatchId id)
+{
+    ::epoll_ctl(m_epoll, EPOLL_CTL_DEL, fd, nullptr);
+    m_watchers.erase(id);
+}
+
+TimePoint EventLoop::now() const
+{
+    return readBootClock();
+}
+
+void EventLoop::later(std::function<void()> call)
+{
+    m_later.push_back(std::move(call));
+}
+
+void EventLoop::post(std::function<void()> call)
+{
+    {
+        const std::lock_guard lock(m_postMutex);
+        m_posted.push_back(std::move(call));
+    }
+    m_waker->wake();
+}
+
+void EventLoop::takePosted()
+{
+    std::vector<std::function<void()>> calls;
+    {
+        const std::lock_guard lock(m_postMutex);
+        calls.swap(m_posted);
+    }
+    for (const auto &call : calls) {
+        call();
+    }
+}
+
+void EventLoop::runLater()
+{
+    while (!m_later.empty()) {
+        std::vector<std::function<void()>> calls;
+        calls.swap(m_later);
+        for (const auto &call : calls) {
+            call();
+        }
+    }
+}
+
+int EventLoop::waitTime() const
+{
+    if (!m_later.empty()) {
+        return 0;
+    }
+    const auto due = m_timers.nextDue();
+    if (due == TimePoint::max()) {
+        return static_cast<int>(LongestWait.count());
+    }
+    const auto left = std::chrono::ceil<milliseconds>(due - now());
+    return static_cast<int>(std::clamp(left, milliseconds(0), LongestWait).count());
+}
+
+void EventLoop::run()
+{
+    std::array<epoll_event, EventsPerTurn> events{};
+    while (!m_stopped) {
+        const int n = ::epoll_wait(m_epoll, events.data(), EventsPerTurn, waitTime());
+        m_turnTime = now();
+        for (int i = 0; i < n; ++i) {
+            const auto it = m_watchers.find(events[static_cast<std::size_t>(i)].data.u64);
+            if (it != m_watchers.end()) {
+                it->second->onReady(events[static_cast<std::size_t>(i)].events);
+            }
+        }
+        takePosted();
+        m_timers.run(m_turnTime);
+        runLater();
+    }
+}
+
+void EventLoop::stop()
+{
+    m_stopped = true;
+    m_waker->wake();
+}
+
+// ---- [scoped timer] ---------------------------------------------------------------------------------------------
+
+void ScopedTimer::start(TimerService &timers, Duration delay, std::function<void(TimePoint now)> callback)
+{
+    cancel();
+    m_timers = &timers;
+    m_id = timers.after(delay, [this, callback = std::move(callback)](TimePoint now) {
+        m_id = 0;
+        const auto call = callback; // the owner may destroy this timer from inside the call
+        call(now);
+    });
+}
+
+void ScopedTimer::repeat(TimerService &timers, Duration period, std::function<void(TimePoint now)> callback)
+{
+    cancel();
+    m_timers = &timers;
+    m_id = timers.every(period, std::move(callback));
+}
+
+void ScopedTimer::cancel()
+{
+    if (m_id != 0) {
+        m_timers->cancel(m_id);
+        m_id = 0;
+    }
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/loop/tcpstream.cpp
@@ -0,0 +1,360 @@
+// Sections: [options of sockets] [opening] [input] [output] [end] [listener]
+#include "loop/tcpstream.h"
+
+#include "plugins/listensocket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr std::size_t ReadBlockBytes = 65'536; ///< bytes read at a time
+constexpr std::size_t InputPerTurnBytes = 262'144; ///< bytes read from one socket before others have their turn
+constexpr std::size_t CompactAfterBytes = 65'536; ///< bytes; sent bytes kept before the buffer is moved down
+constexpr int KeepAliveProbes = 2; ///< unanswered probes that end a connection
+
+// ---- [options of sockets] ---------------------------------------------------------------------------------------
+
+void setIntOption(int fd, int level, int name, int value)
+{
+    // A socket without one of these options works, only less promptly.
+    static_cast<void>(::setsockopt(fd, level, name, &value, sizeof value));
+}
+
+void setOptions(int fd, const StreamOptions &options)
+{
+    const auto interval = std::max<int>(1, static_cast<int>(options.silenceLimit.count() / 1'000 / (KeepAliveProbes + 1)));
+    setIntOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    setIntOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setIntOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, interval);
+    setIntOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, interval);
+    setIntOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    setIntOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.silenceLimit.count()));
+}
+
+} // namespace
+
+const char *closeCauseName(CloseCause cause)
+{
+    switch (cause) {
+    case CloseCause::EndOfStream:
+        return "end-of-stream";
+    case CloseCause::Reset:
+        return "reset";
+    case CloseCause::ConnectFailed:
+        return "connect-failed";
+    case CloseCause::TimedOut:
+        return "timed-out";
+    }
+    return "unknown";
+}
+
+// ---- [opening] --------------------------------------------------------------------------------------------------
+
+std::unique_ptr<TcpStream> TcpStream::connect(EventLoop &loop, const Endpoint &to, StreamEvents &events, const StreamOptions &options)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    std::unique_ptr<TcpStream> stream(new TcpStream(loop, fd, events, options, false));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    const bool started = fd >= 0 && ::inet_pton(AF_INET, to.host.c_str(), &address.sin_addr) == 1
+        && (::connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0 || errno == EINPROGRESS);
+    if (started) {
+        stream->m_watch = loop.watch(fd, *stream);
+    }
+    if (!started || stream->m_watch == 0) {
+        loop.later([self = std::weak_ptr(stream->m_self)] {
+            if (const auto alive = self.lock()) {
+                (*alive)->lost(CloseCause::ConnectFailed);
+            }
+        });
+        return stream;
+    }
+    stream->m_connectTimer.start(loop.timers(), options.connectLimit, [raw = stream.get()](TimePoint) { raw->lost(CloseCause::ConnectFailed); });
+    return stream;
+}
+
+std::unique_ptr<TcpStream> TcpStream::adopt(EventLoop &loop, int fd, StreamEvents &events, const StreamOptions &options)
+{
+    std::unique_ptr<TcpStream> stream(new TcpStream(loop, fd, events, options, true));
+    stream->m_watch = loop.watch(fd, *stream);
+    if (stream->m_watch == 0) {
+        loop.later([self = std::weak_ptr(stream->m_self)] {
+            if (const auto alive = self.lock()) {
+                (*alive)->lost(CloseCause::Reset);
+            }
+        });
+    }
+    return stream;
+}
+
+TcpStream::TcpStream(EventLoop &loop, int fd, StreamEvents &events, const StreamOptions &options, bool connected)
+    : m_loop(loop)
+    , m_events(events)
+    , m_fd(fd)
+    , m_connected(connected)
+    , m_self(std::make_shared<TcpStream *>(this))
+{
+    if (fd >= 0) {
+        setOptions(fd, options);
+    }
+}
+
+TcpStream::~TcpStream()
+{
+    close();
+}
+
+void TcpStream::finishConnect()
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+        lost(CloseCause::ConnectFailed);
+        return;
+    }
+    m_connected = true;
+    m_connectTimer.cancel();
+    if (pendingBytes() > 0) {
+        scheduleFlush();
+    }
+    m_events.onConnected();
+}
+
+// ---- [input] ----------------------------------------------------------------------------------------------------
+
+void TcpStream::onReady(std::uint32_t events)
+{
+    const std::weak_ptr<TcpStream *> alive = m_self;
+    const auto gone = [&] { return alive.expired() || m_fd < 0; };
+    if (!m_connected) {
+        if ((events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) == 0) {
+            return;
+        }
+        finishConnect();
+        if (gone() || !m_connected) {
+            return;
+        }
+    }
+    if ((events & EPOLLOUT) != 0 && m_blocked) {
+        m_blocked = false;
+        flushNow();
+        if (gone()) {
+            return;
+        }
+        if (pendingBytes() == 0) {
+            m_events.onDrained();
+            if (gone()) {
+                return;
+            }
+        }
+    }
+    if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0) {
+        return;
+    }
+    m_readable = true;
+    if (!m_paused) {
+        readAll();
+    } else if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+        lost((events & EPOLLERR) != 0 ? CloseCause::Reset : CloseCause::EndOfStream);
+    }
+}
+
+void TcpStream::readAll()
+{
+    static thread_local std::array<char, ReadBlockBytes> block;
+    const auto before = m_input.size();
+    bool ended = false;
+    auto cause = CloseCause::EndOfStream;
+    while (m_readable && m_input.size() - before < InputPerTurnBytes) {
+        const auto n = ::recv(m_fd, block.data(), block.size(), 0);
+        if (n > 0) {
+            m_input.append(block.data(), static_cast<std::size_t>(n));
+            continue;
+        }
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        m_readable = false;
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            break;
+        }
+        ended = true;
+        cause = n == 0 ? CloseCause::EndOfStream : errno == ETIMEDOUT ? CloseCause::TimedOut : CloseCause::Reset;
+    }
+    if (m_readable) {
+        resumeInput(); // the rest has its turn later
+    }
+    const std::weak_ptr<TcpStream *> alive = m_self;
+    if (m_input.size() > before) {
+        m_events.onInput();
+    }
+    if (ended && !alive.expired() && m_fd >= 0) {
+        lost(cause);
+    }
+}
+
+void TcpStream::pauseInput()
+{
+    m_paused = true;
+}
+
+void TcpStream::resumeInput()
+{
+    m_paused = false;
+    if (!m_readable) {
+        return;
+    }
+    m_loop.later([self = std::weak_ptr(m_self)] {
+        const auto alive = self.lock();
+        if (alive && (*alive)->m_fd >= 0 && !(*alive)->m_paused && (*alive)->m_readable) {
+            (*alive)->readAll();
+        }
+    });
+}
+
+// ---- [output] ---------------------------------------------------------------------------------------------------
+
+void TcpStream::write(std::string_view bytes)
+{
+    if (m_fd < 0) {
+        return;
+    }
+    m_output.append(bytes);
+    if (m_connected && !m_blocked) {
+        scheduleFlush();
+    }
+}
+
+void TcpStream::scheduleFlush()
+{
+    if (m_flushScheduled) {
+        return;
+    }
+    m_flushScheduled = true;
+    m_loop.later([self = std::weak_ptr(m_self)] {
+        if (const auto alive = self.lock()) {
+            (*alive)->m_flushScheduled = false;
+            (*alive)->flushNow();
+        }
+    });
+}
+
+void TcpStream::flushNow()
+{
+    while (m_fd >= 0 && m_connected && !m_blocked && pendingBytes() > 0) {
+        const auto n = ::send(m_fd, m_output.data() + m_written, pendingBytes(), MSG_NOSIGNAL);
+        if (n > 0) {
+            m_written += static_cast<std::size_t>(n);
+        } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+            m_blocked = true;
+        } else if (errno != EINTR) {
+            lost(errno == ETIMEDOUT ? CloseCause::TimedOut : CloseCause::Reset);
+            return;
+        }
+    }
+    if (pendingBytes() == 0) {
+        m_output.clear();
+        m_written = 0;
+        if (m_finishWhenSent && m_fd >= 0) {
+            ::shutdown(m_fd, SHUT_WR);
+        }
+    } else if (m_written > CompactAfterBytes) {
+        m_output.erase(0, m_written);
+        m_written = 0;
+    }
+}
+
+// ---- [end] ------------------------------------------------------------------------------------------------------
+
+void TcpStream::finishOutput()
+{
+    m_finishWhenSent = true;
+    if (pendingBytes() == 0 && m_fd >= 0) {
+        ::shutdown(m_fd, SHUT_WR);
+    }
+}
+
+void TcpStream::close()
+{
+    if (m_fd < 0) {
+        return;
+    }
+    m_connectTimer.cancel();
+    if (m_watch != 0) {
+        m_loop.unwatch(m_fd, m_watch);
+    }
+    ::close(m_fd);
+    m_fd = -1;
+}
+
+void TcpStream::reset()
+{
+    if (m_fd >= 0) {
+        const linger now{1, 0};
+        static_cast<void>(::setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &now, sizeof now));
+    }
+    close();
+}
+
+void TcpStream::lost(CloseCause cause)
+{
+    if (m_fd < 0 && m_connected) {
+        return;
+    }
+    const bool first = m_fd >= 0 || !m_connected;
+    cause == CloseCause::EndOfStream ? close() : reset();
+    if (first) {
+        m_connected = true; // a second report is not made
+        m_events.onClosed(cause);
+    }
+}
+
+// ---- [listener] -------------------------------------------------------------------------------------------------
+
+Result<std::unique_ptr<TcpListener>>
+TcpListener::listen(EventLoop &loop, const Endpoint &endpoint, const std::string &setting, std::function<void(int fd)> onAccepted)
+{
+    BOOST_LEAF_AUTO(fd, openListenSocket(endpoint, setting));
+    return std::unique_ptr<TcpListener>(new TcpListener(loop, fd, std::move(onAccepted)));
+}
+
+TcpListener::TcpListener(EventLoop &loop, int fd, std::function<void(int fd)> onAccepted)
+    : m_loop(loop)
+    , m_fd(fd)
+    , m_watch(loop.watch(fd, *this))
+    , m_onAccepted(std::move(onAccepted))
+{
+}
+
+TcpListener::~TcpListener()
+{
+    m_loop.unwatch(m_fd, m_watch);
+    ::close(m_fd);
+}
+
+void TcpListener::onReady(std::uint32_t)
+{
+    for (;;) {
+        const int fd = ::accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd >= 0) {
+            m_onAccepted(fd);
+        } else if (errno != EINTR && errno != ECONNABORTED) {
+            return;
+        }
+    }
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/loop/worker.cpp
@@ -0,0 +1,46 @@
+#include "loop/worker.h"
+
+namespace Fescuenotch {
+
+Worker::Worker(EventLoop &loop)
+    : m_loop(loop)
+    , m_thread([this] { work(); })
+{
+}
+
+Worker::~Worker()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_one();
+    m_thread.join();
+}
+
+void Worker::push(std::function<void()> job)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_jobs.push_back(std::move(job));
+    }
+    m_changed.notify_one();
+}
+
+void Worker::work()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_changed.wait(lock, [&] { return m_stopping || !m_jobs.empty(); });
+        if (m_stopping) {
+            return;
+        }
+        const auto job = std::move(m_jobs.front());
+        m_jobs.pop_front();
+        lock.unlock();
+        job();
+        lock.lock();
+    }
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/loop/worker.h
@@ -0,0 +1,42 @@
+// A POSIX thread for work that would hold up the event loop, such as parsing a large document.
+//
+// How to use: `worker.run([] { return slowly(); }, [](auto result) { ... });` The first function runs on the worker's
+// thread and must touch nothing of the loop's; the second gets its result on the loop's thread.
+#pragma once
+
+#include "loop/eventloop.h"
+
+#include <condition_variable>
+#include <deque>
+#include <thread>
+
+namespace Fescuenotch {
+
+class Worker
+{
+public:
+    explicit Worker(EventLoop &loop);
+    ~Worker(); ///< finishes the job that runs, drops the others
+
+    template<typename Job, typename Done>
+    void run(Job job, Done done)
+    {
+        push([this, job = std::move(job), done = std::move(done)]() mutable {
+            auto result = std::make_shared<decltype(job())>(job());
+            m_loop.post([result, done = std::move(done)]() mutable { done(std::move(*result)); });
+        });
+    }
+
+private:
+    void push(std::function<void()> job);
+    void work();
+
+    EventLoop &m_loop;
+    std::mutex m_mutex; ///< guards m_jobs and m_stopping
+    std::condition_variable m_changed;
+    std::deque<std::function<void()>> m_jobs;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/mesh/repeatpolicy.cpp
@@ -0,0 +1,57 @@
+#include "mesh/repeatpolicy.h"
+
+namespace Fescuenotch {
+
+namespace {
+
+bool mayRunTwice(const MeshRoute &route)
+{
+    return route.kind != RouteKind::NotIdempotent;
+}
+
+} // namespace
+
+RepeatPolicy::RepeatPolicy(const RepeatSettings &settings)
+    : m_settings(settings)
+{
+}
+
+void RepeatPolicy::configure(const RepeatSettings &settings)
+{
+    const bool sameBudget = settings.budgetShare == m_settings.budgetShare && settings.budgetMinPerSecond == m_settings.budgetMinPerSecond;
+    m_settings = settings;
+    if (!sameBudget) {
+        m_budgets.clear();
+    }
+}
+
+RetryBudget &RepeatPolicy::budgetOf(const std::string &service)
+{
+    return m_budgets.try_emplace(service, m_settings.budgetShare, m_settings.budgetMinPerSecond).first->second;
+}
+
+void RepeatPolicy::onRequest(TimePoint now, const std::string &service)
+{
+    budgetOf(service).onRequest(now);
+}
+
+NextStep RepeatPolicy::next(TimePoint now, TimePoint deadline, const MeshRoute &route, const std::string &service, const SendEnd &end, RepeatState &state)
+{
+    ++state.placements;
+    state.offered += end.offered ? 1 : 0;
+    state.mayHaveRun = state.mayHaveRun || end.outcome != Outcome::NotRun;
+    if (end.answerStarted || deadline - now < m_settings.leastTime) {
+        return NextStep::End;
+    }
+    const bool provenNotRun = end.outcome == Outcome::NotRun;
+    if (!provenNotRun && !mayRunTwice(route)) {
+        return NextStep::End;
+    }
+    if (provenNotRun && !end.offered) {
+        return state.placements < m_settings.mostPlacements ? NextStep::PlaceAgain : NextStep::End;
+    }
+    const bool allowed = state.offered < route.maxAttempts && budgetOf(service).take(now, 0);
+    return allowed ? NextStep::Repeat : NextStep::End;
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/mesh/repeatpolicy.h
@@ -0,0 +1,57 @@
+// What follows when a request that was sent to a target did not end with an answer for its caller.
+//
+// Three kinds of next step differ in what they cost. Placing again costs nothing outside: the exit node had not offered
+// the request to its target. Repeating sends the request to another target, so it is bounded by the route's attempts
+// and by this node's share of the fleet's budget. Ending tells the caller, with `notRun` only if no target can have run it.
+//
+// How to use: one RepeatState for each request; `next` after each failure.
+#pragma once
+
+#include "mesh/routes.h"
+#include "request/retrybudget.h"
+#include "request/types.h"
+
+#include <unordered_map>
+
+namespace Fescuenotch {
+
+struct RepeatSettings {
+    double budgetShare = 0.1; ///< repeats per request of a service, over ten seconds
+    double budgetMinPerSecond = 0.2; ///< repeats a second that are always allowed to this node
+    unsigned mostPlacements = 4; ///< exit nodes that are asked for one request
+    Duration leastTime = milliseconds(10); ///< ms; with less time left nothing is tried again
+};
+
+/// How one sending of a request ended.
+struct SendEnd {
+    Outcome outcome = Outcome::Unknown;
+    Reason reason = Reason::None;
+    bool offered = false; ///< the target may have seen the request
+    bool answerStarted = false; ///< bytes of an answer went to the caller
+    unsigned status = 0; ///< of the target's answer; 0: none
+};
+
+struct RepeatState {
+    unsigned offered = 0; ///< targets that may have seen the request
+    unsigned placements = 0; ///< exit nodes asked
+    bool mayHaveRun = false;
+};
+
+enum class NextStep { PlaceAgain, Repeat, End };
+
+class RepeatPolicy
+{
+public:
+    explicit RepeatPolicy(const RepeatSettings &settings);
+    void configure(const RepeatSettings &settings); ///< when the size of the fleet changes
+    void onRequest(TimePoint now, const std::string &service);
+    NextStep next(TimePoint now, TimePoint deadline, const MeshRoute &route, const std::string &service, const SendEnd &end, RepeatState &state);
+
+private:
+    RetryBudget &budgetOf(const std::string &service);
+
+    RepeatSettings m_settings;
+    std::unordered_map<std::string, RetryBudget> m_budgets; ///< by service
+};
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/mesh/slotqueue.h
@@ -0,0 +1,151 @@
+// Admission at the exit node: which requests a target runs now, which wait, which are refused at once.
+//
+// The exit node alone sends work to its target, so slots in use, waiting requests and service times are exact here.
+// Pattern answered: more work than slots for seconds on end (bursts, a lost data centre, slow targets). A queue that
+// lets everybody wait makes everybody late, so a request waits only while it can still be answered within its latency
+// goal, and is refused the moment that it can't: another target or a later return then still has time.
+//
+// Order: calls of requests that already run somewhere, then priority, then the earlier goal. Requests whose goal has
+// passed come last, and only a few of them wait. A kind of request that has been served much less than the others for a
+// while goes first until it has caught up, so none starves.
+//
+// How to use: `offer` each ticket, `finished` when it ends, `tick` when `nextTick` comes. One owner; no locks.
+#pragma once
+
+#include "kernel/clock.h"
+#include "request/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Fescuenotch {
+
+using WorkId = std::uint64_t;
+
+struct WorkTicket {
+    WorkId id = 0;
+    std::string kind; ///< name of the route; service times are learnt for each
+    unsigned priority = 0; ///< 0 first
+    bool isInnerCall = false; ///< made by a request that runs at another target
+    TimePoint goal; ///< an answer by then is worth most
+    TimePoint deadline; ///< no answer is wanted after this
+};
+
+/// What an exit node tells about its target, with answers and heartbeats.
+struct TargetReport {
+    unsigned running = 0; ///< requests
+    unsigned limit = 0; ///< requests at once; 0: not known
+    unsigned waiting = 0; ///< requests
+    microseconds meanService{0}; ///< us; recent mean over all kinds, 0: not known
+    double failedShare = 0; ///< 0 to 1; recent share of requests that the target failed
+    bool leaving = false;
+    bool operator==(const TargetReport &) const = default;
+};
+
+struct SlotQueueSettings {
+    unsigned slots = 1; ///< stated by the target
+    double waitShareOfGoal = 1.0; ///< of the time left to the goal after the mean service time; more waits are refused
+    milliseconds leastRetryAfter{50}; ///< ms; a refused caller comes back no sooner
+    unsigned mostLateWaiting = 4; ///< requests whose goal cannot be met that may wait
+    double starvedShare = 0.5; ///< a kind served less than this share of the others' rate goes first
+};
+
+struct AdmissionVerdict {
+    enum class Kind { Start, Wait, Refuse } kind = Kind::Refuse;
+    Reason reason = Reason::None; ///< of a refusal
+    milliseconds retryAfter{0}; ///< ms; of a refusal
+};
+
+/// Tickets that change state after an event.
+struct QueueChanges {
+    std::vector<WorkId> started;
+    std::vector<std::pair<WorkId, AdmissionVerdict>> refused;
+};
+
+/// Mean service time of each kind of request at one target.
+class ServiceTimes
+{
+public:
+    void note(const std::string &kind, Duration service);
+    Duration of(const std::string &kind) const; ///< the mean over all kinds for one that was not seen; 0 without any
+    Duration mean() const;
+    void forget();
+
+private:
+    std::unordered_map<std::string, double> m_ofKind; ///< s
+    double m_mean = 0; ///< s
+};
+
+class SlotQueue
+{
+public:
+    explicit SlotQueue(const SlotQueueSettings &settings);
+    AdmissionVerdict offer(TimePoint now, const WorkTicket &ticket);
+    /// A started one ended. `service` is zero when its time tells nothing.
+    QueueChanges finished(TimePoint now, WorkId id, Duration service);
+    /// A waiting one was given up by its entry node.
+    QueueChanges withdraw(TimePoint now, WorkId id);
+    /// Refuses those that can't be served in time any more.
+    QueueChanges tick(TimePoint now);
+    TimePoint nextTick() const; ///< TimePoint::max() when nothing waits
+    /// The target refused one although a slot was free: fewer slots for a while.
+    void onTargetFull(TimePoint now);
+    QueueChanges resize(TimePoint now, unsigned slots);
+    void onNewLifetime(); ///< another process runs at the target's address: what was learnt is forgotten
+    TargetReport report() const; ///< without failedShare and leaving
+    unsigned limit() const;
+    std::size_t waiting() const
+    {
+        return m_waiting.size();
+    }
+    std::size_t running() const
+    {
+        return m_running.size();
+    }
+
+private:
+    struct Place {
+        unsigned rank = 0; ///< lower first
+        TimePoint goal;
+        WorkId id = 0;
+        auto operator<=>(const Place &) const = default;
+    };
+    struct Waiting {
+        WorkTicket ticket;
+        bool late = false; ///< its goal cannot be met any more
+    };
+    struct Share {
+        double offered = 0; ///< requests, decaying
+        double started = 0; ///< requests, decaying
+    };
+
+    unsigned rankOf(const WorkTicket &ticket, bool late) const;
+    bool isStarved(const std::string &kind) const;
+    bool meetsGoal(TimePoint now, const WorkTicket &ticket, Duration wait) const;
+    bool meetsDeadline(TimePoint now, const WorkTicket &ticket, Duration wait) const;
+    Duration waitFor(std::size_t ahead) const; ///< until a request with so many before it starts
+    std::size_t aheadOf(const Place &place) const;
+    milliseconds retryAfter() const;
+    AdmissionVerdict refusal(Reason reason) const;
+    void start(const WorkTicket &ticket);
+    void noteOffered(const std::string &kind);
+    void noteStarted(const std::string &kind);
+    void startWaiting(TimePoint now, QueueChanges &changes);
+    void refuseHopeless(TimePoint now, QueueChanges &changes);
+
+    SlotQueueSettings m_settings;
+    ServiceTimes m_times;
+    std::unordered_map<WorkId, std::string> m_running; ///< kind by id
+    std::map<Place, Waiting> m_waiting;
+    std::unordered_map<WorkId, Place> m_places;
+    std::size_t m_lateWaiting = 0;
+    std::unordered_map<std::string, Share> m_shares; ///< by kind
+    double m_limit; ///< slots in use at most; below the stated ones while the target turns work away
+};
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/mesh/targets.cpp
@@ -0,0 +1,170 @@
+#include "mesh/targets.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr seconds RemovalMemory{120}; ///< s; how long a removed id is remembered, far above the store's history
+
+} // namespace
+
+const char *targetChangeName(TargetChange::Kind kind)
+{
+    switch (kind) {
+    case TargetChange::Kind::Added:
+        return "added";
+    case TargetChange::Kind::Changed:
+        return "changed";
+    case TargetChange::Kind::Draining:
+        return "draining";
+    case TargetChange::Kind::Removed:
+        return "removed";
+    case TargetChange::Kind::HeldBack:
+        return "held-back";
+    case TargetChange::Kind::Returned:
+        return "returned";
+    }
+    return "unknown";
+}
+
+std::optional<TargetChange> TargetTable::apply(TimePoint now, const TargetNews &news, TimePoint removalsHeldUntil)
+{
+    auto &entry = m_entries[news.id];
+    if (news.revision <= entry.revision) {
+        return std::nullopt;
+    }
+    return news.record ? take(now, entry, news) : remove(now, entry, news.revision, removalsHeldUntil);
+}
+
+std::optional<TargetChange> TargetTable::take(TimePoint now, Entry &entry, const TargetNews &news)
+{
+    const bool wasHeldBack = entry.removeAt.has_value();
+    const auto before = entry.record;
+    entry = {news.record, news.revision, std::nullopt, now};
+    const bool sameAsBefore = before && *before == *news.record;
+    if (sameAsBefore && !wasHeldBack) {
+        return std::nullopt;
+    }
+    ++m_generation;
+    if (wasHeldBack) {
+        return TargetChange{TargetChange::Kind::Returned, *news.record};
+    }
+    const bool drainsNow = news.record->state == TargetState::Draining && (!before || before->state == TargetState::Ready);
+    const auto kind = drainsNow ? TargetChange::Kind::Draining : before ? TargetChange::Kind::Changed : TargetChange::Kind::Added;
+    return TargetChange{kind, *news.record};
+}
+
+std::optional<TargetChange> TargetTable::remove(TimePoint now, Entry &entry, std::uint64_t revision, TimePoint removalsHeldUntil)
+{
+    entry.revision = std::max(entry.revision, revision);
+    if (!entry.record) {
+        entry.changedAt = now;
+        return std::nullopt;
+    }
+    if (now < removalsHeldUntil) {
+        const bool first = !entry.removeAt;
+        entry.removeAt = removalsHeldUntil;
+        return first ? std::optional(TargetChange{TargetChange::Kind::HeldBack, *entry.record}) : std::nullopt;
+    }
+    TargetChange change{TargetChange::Kind::Removed, *entry.record};
+    entry = {std::nullopt, entry.revision, std::nullopt, now};
+    ++m_generation;
+    return change;
+}
+
+std::vector<TargetChange> TargetTable::applyListing(TimePoint now, const std::vector<TargetNews> &listing, std::uint64_t revision, TimePoint removalsHeldUntil)
+{
+    std::vector<TargetChange> changes;
+    std::set<std::string> listed;
+    for (const auto &news : listing) {
+        listed.insert(news.id);
+        if (auto change = apply(now, news, removalsHeldUntil)) {
+            changes.push_back(std::move(*change));
+        }
+    }
+    for (auto &[id, entry] : m_entries) {
+        if (listed.contains(id) || entry.revision > revision) {
+            continue;
+        }
+        if (auto change = remove(now, entry, revision, removalsHeldUntil)) {
+            changes.push_back(std::move(*change));
+        }
+    }
+    return changes;
+}
+
+std::vector<TargetChange> TargetTable::tick(TimePoint now)
+{
+    std::vector<TargetChange> changes;
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        auto &entry = it->second;
+        if (entry.removeAt && *entry.removeAt <= now) {
+            changes.push_back({TargetChange::Kind::Removed, *entry.record});
+            entry = {std::nullopt, entry.revision, std::nullopt, now};
+            ++m_generation;
+        }
+        it = !entry.record && now - entry.changedAt > RemovalMemory ? m_entries.erase(it) : std::next(it);
+    }
+    return changes;
+}
+
+std::vector<TargetRecord> TargetTable::ofService(const std::string &service) const
+{
+    std::vector<TargetRecord> found;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.record && entry.record->service == service && entry.record->state == TargetState::Ready) {
+            found.push_back(*entry.record);
+        }
+    }
+    return found;
+}
+
+std::vector<TargetRecord> TargetTable::all() const
+{
+    std::vector<TargetRecord> found;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.record) {
+            found.push_back(*entry.record);
+        }
+    }
+    return found;
+}
+
+const TargetRecord *TargetTable::find(const std::string &id) const
+{
+    const auto it = m_entries.find(id);
+    return it == m_entries.end() || !it->second.record ? nullptr : &*it->second.record;
+}
+
+const TargetRecord *TargetTable::atAddress(const Endpoint &address) const
+{
+    const TargetRecord *best = nullptr;
+    for (const auto &[id, entry] : m_entries) {
+        const bool here = entry.record && entry.record->address == address;
+        if (here && (best == nullptr || entry.record->startedAtMs > best->startedAtMs)) {
+            best = &*entry.record;
+        }
+    }
+    return best;
+}
+
+std::size_t TargetTable::size() const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [](const auto &each) { return each.second.record.has_value(); }));
+}
+
+std::vector<TargetNews> TargetTable::newsAfter(std::uint64_t revision) const
+{
+    std::vector<TargetNews> news;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.revision > revision && !entry.removeAt) {
+            news.push_back({id, entry.revision, entry.record});
+        }
+    }
+    return news;
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/mesh/targets.h
@@ -0,0 +1,93 @@
+// The targets that the platform lists, as this node believes them.
+//
+// How to use: `apply` each item that a store answer brings, `applyListing` after a whole listing; ask `ofService`.
+// Items carry the store's revision: for one target id only a higher revision is taken, in whatever order news comes.
+//
+// A target is `usable` while it is listed as ready. When the store was away, entries may have lapsed although their
+// targets live: a removal that is seen within `LapseGrace` of the store's return is held back until that time has
+// passed, and forgotten if the entry comes back meanwhile.
+#pragma once
+
+#include "kernel/clock.h"
+#include "kernel/endpoint.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Fescuenotch {
+
+constexpr milliseconds LapseGrace{2'200}; ///< ms; the letter's "about two seconds" after the store's return, and a tenth more
+
+enum class TargetState { Ready, Draining };
+
+/// One target's entry in the platform's store.
+struct TargetRecord {
+    std::string id; ///< of this lifetime; a target checks that a request was meant for it
+    std::string service;
+    Endpoint address; ///< on the target's host; its node listens on the same host
+    std::string dataCentre;
+    unsigned slots = 1; ///< requests at once
+    TargetState state = TargetState::Ready;
+    milliseconds coldFor{0}; ///< ms; how much longer the target is slow after its start
+    std::int64_t startedAtMs = 0; ///< Unix ms of its start; 0: not stated
+    bool operator==(const TargetRecord &) const = default;
+};
+
+/// News about one target id.
+struct TargetNews {
+    std::string id;
+    std::uint64_t revision = 0; ///< of the store
+    std::optional<TargetRecord> record; ///< none: the entry is gone or cannot be read
+};
+
+/// A change that the node should know of.
+struct TargetChange {
+    enum class Kind { Added, Changed, Draining, Removed, HeldBack, Returned } kind = Kind::Added;
+    TargetRecord record;
+};
+const char *targetChangeName(TargetChange::Kind kind); ///< "added", "removed", ...
+
+class TargetTable
+{
+public:
+    /// `removalsHeldUntil`: removals seen before this time wait until then; TimePoint::min() when the store was not away.
+    std::optional<TargetChange> apply(TimePoint now, const TargetNews &news, TimePoint removalsHeldUntil);
+    /// After a whole listing as of `revision`: what it does not name and is not newer is gone.
+    std::vector<TargetChange> applyListing(TimePoint now, const std::vector<TargetNews> &listing, std::uint64_t revision, TimePoint removalsHeldUntil);
+    /// Carries out removals that were held back long enough.
+    std::vector<TargetChange> tick(TimePoint now);
+
+    std::vector<TargetRecord> ofService(const std::string &service) const; ///< usable ones
+    std::vector<TargetRecord> all() const; ///< every one that is listed, draining ones too
+    const TargetRecord *find(const std::string &id) const; ///< null when it is not listed
+    /// The listed target at an address; the latest started when several claim it.
+    const TargetRecord *atAddress(const Endpoint &address) const;
+    std::size_t size() const;
+    /// Latest news of every id, removals of the last minutes too, for a peer that has not heard them. Removals that are
+    /// held back are left out until they are carried out.
+    std::vector<TargetNews> newsAfter(std::uint64_t revision) const;
+    /// Changes whenever the table does.
+    std::uint64_t generation() const
+    {
+        return m_generation;
+    }
+
+private:
+    struct Entry {
+        std::optional<TargetRecord> record; ///< none: removed
+        std::uint64_t revision = 0;
+        std::optional<TimePoint> removeAt; ///< a removal that is held back
+        TimePoint changedAt;
+    };
+
+    std::optional<TargetChange> take(TimePoint now, Entry &entry, const TargetNews &news);
+    std::optional<TargetChange> remove(TimePoint now, Entry &entry, std::uint64_t revision, TimePoint removalsHeldUntil);
+
+    std::map<std::string, Entry> m_entries; ///< by target id
+    std::uint64_t m_generation = 0;
+};
+
+} // namespace Fescuenotch
--- a/src/wire/framing.cpp
+++ b/src/wire/framing.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::size_t PrefixBytes = sizeof(std::uint32_t);
-constexpr std::size_t CompactAfterBytes = 256 * 1024; ///< bytes; taken bytes kept before the buffer is moved down
 constexpr flatbuffers::uoffset_t MaxTablesPerFrame = 4'096;
 constexpr flatbuffers::uoffset_t MaxDepthPerFrame = 8;
 constexpr std::size_t InitialBuilderBytes = 512;
@@ -58,47 +56,27 @@
     return headers;
 }
 
-leaf::error_id badFrame(const std::string &what)
-{
-    return fail(ErrorKind::InvalidFrame, what, "check that only nodes of this version connect to --peer-listen");
-}
-
 } // namespace
 
 // ---- [reading] --------------------------------------------------------------------------------------------------
 
 void FrameReader::append(Bytes bytes)
 {
-    if (m_taken == m_buf.size()) {
-        m_buf.clear();
-        m_taken = 0;
-    } else if (m_taken > CompactAfterBytes) {
-        m_buf.erase(0, m_taken);
-        m_taken = 0;
-    }
-    m_buf.append(bytes.data(), bytes.size());
+    m_cutter.append({bytes.data(), bytes.size()});
 }
 
 Result<const Wire::PeerFrame *> FrameReader::next()
 {
-    if (m_buf.size() - m_taken < PrefixBytes) {
-        return nullptr;
-    }
-    const auto n = flatbuffers::ReadScalar<std::uint32_t>(m_buf.data() + m_taken);
-    if (n > m_cap || n == 0) {
-        return badFrame("a frame of " + std::to_string(n) + " bytes, allowed are 1 to " + std::to_string(m_cap));
-    }
-    if (m_buf.size() - m_taken < PrefixBytes + n) {
+    BOOST_LEAF_AUTO(whole, m_cutter.next());
+    if (!whole) {
         return nullptr;
     }
-    const auto *start = m_buf.data() + m_taken;
-    m_frame.assign(start, start + PrefixBytes + n);
-    m_taken += m_frame.size();
-    flatbuffers::Verifier verifier(m_frame.data(), m_frame.size(), MaxDepthPerFrame, MaxTablesPerFrame);
+    const auto &bytes = m_cutter.frame();
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size(), MaxDepthPerFrame, MaxTablesPerFrame);
     if (!Wire::VerifySizePrefixedPeerFrameBuffer(verifier)) {
         return badFrame("a frame that does not verify");
     }
-    const auto *frame = Wire::GetSizePrefixedPeerFrame(m_frame.data());
+    const auto *frame = Wire::GetSizePrefixedPeerFrame(bytes.data());
     if (frame->message() == nullptr) {
         return badFrame("a frame without a message");
     }
@@ -107,7 +85,7 @@
 
 void FrameReader::allowLargeFrames()
 {
-    m_cap = MaxFrameBytes;
+    m_cutter.setCap(MaxFrameBytes);
 }
 
 // ---- [encoding] -------------------------------------------------------------------------------------------------
--- a/src/wire/framing.h
+++ b/src/wire/framing.h
@@ -7,6 +7,7 @@
 
 #include "kernel/errors.h"
 #include "plugins/interfaces.h"
+#include "wire/framecutter.h"
 #include "wire/peer_generated.h"
 
 #include <cstdint>
@@ -33,14 +34,11 @@
     void allowLargeFrames();
     std::size_t lastFrameBytes() const ///< bytes; size of the frame that `next` gave
     {
-        return m_frame.size();
+        return m_cutter.frame().size();
     }
 
 private:
-    std::string m_buf;
-    std::size_t m_taken = 0; ///< bytes of m_buf already handed out
-    std::uint32_t m_cap = MaxHelloBytes;
-    std::vector<std::uint8_t> m_frame; ///< aligned copy of the current frame
+    FrameCutter m_cutter{MaxHelloBytes};
 };
 
 /// Who speaks on a link, from its Hello.
