--- a/src/forward/callerserver.cpp
+++ b/src/forward/callerserver.cpp
@@ -305,6 +305,10 @@
         if (expectsContinue(head) && m_requests.empty() && m_tcp->input().empty()) {
             m_tcp->write(ContinueAnswer);
         }
+        if (m_server.m_acceptsNoMore) {
+            refuse({503, "leaving", "send the request to another node, or to this one when it is back"});
+            return false;
+        }
         m_requests.push_back(std::make_unique<Exchange>(*this, std::move(head)));
         m_receiving = m_requests.back().get();
         m_receiving->request().start();
@@ -469,7 +473,7 @@
     : m_core(core)
     , m_opened(metrics.counter("fescuenotch_entry_connections_total", "Connections of callers."))
 {
-    for (const auto *reason : {"bad-request", "too-large", "slow-head"}) {
+    for (const auto *reason : {"bad-request", "too-large", "slow-head", "leaving"}) {
         m_refusals[reason] = &metrics.counter("fescuenotch_entry_malformed_total", "Requests that were refused before they had a route.", {{"reason", reason}});
     }
     metrics.gauge("fescuenotch_entry_open_connections", "Connections of callers open now.", {}, [this] { return static_cast<double>(m_connections.size()); });
@@ -495,6 +499,13 @@
     m_leaving = true;
 }
 
+void CallerConnections::stopAccepting()
+{
+    m_acceptsNoMore = true;
+    m_listener.reset();
+    closeIdle();
+}
+
 void CallerConnections::accept(int fd)
 {
     m_opened.add();
--- a/src/forward/callerserver.h
+++ b/src/forward/callerserver.h
@@ -23,6 +23,8 @@
     Result<void> listen(const Endpoint &endpoint);
     void setBounds(const CallerBounds &bounds);
     void beginLeaving();
+    /// Takes no more: new connections are refused, requests that still come are answered as not run.
+    void stopAccepting();
     std::size_t requestsInFlight() const;
     std::size_t connections() const
     {
@@ -49,6 +51,7 @@
     std::map<Connection *, std::unique_ptr<Connection>> m_connections;
     ScopedTimer m_sweep;
     bool m_leaving = false;
+    bool m_acceptsNoMore = false;
     TimePoint m_lastRequestAt;
     Counter &m_opened;
     std::map<std::string, Counter *> m_refusals; ///< by reason
--- a/src/forward/linkcodec.cpp
+++ b/src/forward/linkcodec.cpp
@@ -197,7 +197,6 @@
                                        fields,
                                        static_cast<std::uint8_t>(request.kind),
                                        request.priority,
-                                       request.isInnerCall,
                                        request.bodyLength.has_value(),
                                        request.bodyLength.value_or(0),
                                        body,
@@ -288,7 +287,6 @@
         : open.kind() == static_cast<std::uint8_t>(RouteKind::Download)            ? RouteKind::Download
                                                                                    : RouteKind::NotIdempotent;
     request.priority = open.priority();
-    request.isInnerCall = open.inner_call();
     request.deadline = now + microseconds(open.remaining_us()) - onTheWay;
     request.goal = now + microseconds(open.goal_us()) - onTheWay;
     if (open.has_length()) {
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds StopPoll{50}; ///< ms
 constexpr milliseconds ReadinessNotice{2'200}; ///< ms; the platform asks once a second and believes the second miss
 constexpr milliseconds QuietBeforeExit{300}; ///< ms without a new request before the process ends
+constexpr double AcceptShareOfStop = 0.45; ///< of the time until SIGKILL; what is taken by then has as long again to finish
 constexpr milliseconds StopMargin{700}; ///< ms before SIGKILL at which the process ends whatever runs
 constexpr std::size_t MostPreparedLinks = 128; ///< links opened ahead of use; more targets are linked when chosen
 
@@ -429,7 +430,12 @@
 void MeshNode::checkStop(TimePoint now)
 {
     const auto since = now - *m_stopSince;
-    const bool quiet = m_callers->requestsInFlight() == 0 && m_gate->inFlight() == 0 && now - m_callers->lastRequestAt() > QuietBeforeExit;
+    if (!m_acceptsNoMore && std::chrono::duration<double>(since) > m_settings.stopLimit * AcceptShareOfStop) {
+        m_acceptsNoMore = true;
+        logEvent(LogLevel::Info, "accepts_no_more").with("in_flight", m_callers->requestsInFlight()).with("at_target", m_gate->inFlight());
+        m_callers->stopAccepting();
+    }
+    const bool quiet = m_callers->requestsInFlight() == 0 && m_gate->inFlight() == 0 && (m_acceptsNoMore || now - m_callers->lastRequestAt() > QuietBeforeExit);
     const bool done = quiet && since > ReadinessNotice;
     if (!done && since < m_settings.stopLimit - StopMargin) {
         return;
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -89,6 +89,7 @@
     ScopedTimer m_upkeep;
     ScopedTimer m_stopTimer;
     std::optional<TimePoint> m_stopSince;
+    bool m_acceptsNoMore = false; ///< the stop has gone so far that no new request is taken
 
     Counter *m_configurationsTaken = nullptr;
     Counter *m_configurationsRefused = nullptr;
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -466,9 +466,11 @@
         case MeshWire::LinkMessage::Credit:
             grant(*frame.message_as_Credit());
             break;
-        case MeshWire::LinkMessage::Cancel:
-            m_exchanges.erase(frame.message_as_Cancel()->stream());
+        case MeshWire::LinkMessage::Cancel: {
+            // Taken out before it is destroyed: that may end other exchanges of this link.
+            const auto cancelled = m_exchanges.extract(frame.message_as_Cancel()->stream());
             break;
+        }
         case MeshWire::LinkMessage::StateNews:
             m_links.m_events.onStateNews(*frame.message_as_StateNews());
             break;
--- a/src/forward/targetgate.cpp
+++ b/src/forward/targetgate.cpp
@@ -71,7 +71,7 @@
 
     WorkTicket ticket() const
     {
-        return {m_id, m_request.route, m_request.priority, m_request.isInnerCall, m_request.goal, m_request.deadline};
+        return {m_id, m_request.route, m_request.priority, m_request.goal, m_request.deadline};
     }
 
     void start()
@@ -207,7 +207,7 @@
     {
         const bool wrongTarget = m_status == m_gate.m_adapter.wrongTargetStatus();
         if (!wrongTarget) {
-            m_gate.m_queue.onTargetFull(m_gate.m_loop.turnTime());
+            m_gate.m_queue.onTurnedAway(m_gate.m_loop.turnTime());
             m_gate.noteResult(true);
         }
         ForwardEnd end;
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -33,7 +33,6 @@
     Headers headers; ///< end-to-end headers only
     RouteKind kind = RouteKind::Idempotent;
     unsigned priority = 0; ///< 0 first
-    bool isInnerCall = false; ///< made by a target while it runs another request
     TimePoint deadline;
     TimePoint goal; ///< an answer by then is worth most
     std::optional<std::uint64_t> bodyLength; ///< bytes; none: not known before it ends
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t ReadBlockBytes = 65'536; ///< bytes read at a time
 constexpr std::size_t InputPerTurnBytes = 262'144; ///< bytes read from one socket before others have their turn
 constexpr std::size_t CompactAfterBytes = 65'536; ///< bytes; sent bytes kept before the buffer is moved down
+constexpr milliseconds DescriptorRetry{100}; ///< ms; accepting is tried again so long after the descriptors ran out
 constexpr int KeepAliveProbes = 2; ///< unanswered probes that end a connection
 
 // ---- [options of sockets] ---------------------------------------------------------------------------------------
@@ -324,14 +325,13 @@
 
 // ---- [listener] -------------------------------------------------------------------------------------------------
 
-Result<std::unique_ptr<TcpListener>>
-TcpListener::listen(EventLoop &loop, const Endpoint &endpoint, const std::string &setting, std::function<void(int fd)> onAccepted)
+Result<std::unique_ptr<TcpListener>> TcpListener::listen(EventLoop &loop, const Endpoint &endpoint, const std::string &setting, Accepted onAccepted)
 {
     BOOST_LEAF_AUTO(fd, openListenSocket(endpoint, setting));
     return std::unique_ptr<TcpListener>(new TcpListener(loop, fd, std::move(onAccepted)));
 }
 
-TcpListener::TcpListener(EventLoop &loop, int fd, std::function<void(int fd)> onAccepted)
+TcpListener::TcpListener(EventLoop &loop, int fd, Accepted onAccepted)
     : m_loop(loop)
     , m_fd(fd)
     , m_watch(loop.watch(fd, *this))
@@ -351,6 +351,9 @@
         const int fd = ::accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd >= 0) {
             m_onAccepted(fd);
+        } else if (errno == EMFILE || errno == ENFILE) {
+            m_retry.start(m_loop.timers(), DescriptorRetry, [this](TimePoint) { onReady(0); });
+            return;
         } else if (errno != EINTR && errno != ECONNABORTED) {
             return;
         }
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -106,19 +106,21 @@
 class TcpListener final : public SocketWatcher
 {
 public:
+    using Accepted = std::function<void(int fd)>;
+
     /// Binds and listens; error ListenFailed names `setting`.
-    static Result<std::unique_ptr<TcpListener>>
-    listen(EventLoop &loop, const Endpoint &endpoint, const std::string &setting, std::function<void(int fd)> onAccepted);
+    static Result<std::unique_ptr<TcpListener>> listen(EventLoop &loop, const Endpoint &endpoint, const std::string &setting, Accepted onAccepted);
     ~TcpListener() override;
     void onReady(std::uint32_t events) override;
 
 private:
-    TcpListener(EventLoop &loop, int fd, std::function<void(int fd)> onAccepted);
+    TcpListener(EventLoop &loop, int fd, Accepted onAccepted);
 
     EventLoop &m_loop;
     int m_fd;
     WatchId m_watch = 0;
-    std::function<void(int fd)> m_onAccepted;
+    Accepted m_onAccepted;
+    ScopedTimer m_retry;
 };
 
 } // namespace Fescuenotch
--- a/src/mesh/requestage.h
+++ b/src/mesh/requestage.h
@@ -2,6 +2,8 @@
 //
 // A caller that comes back after a refusal tells less time than one that comes for the first time. The longest time told
 // for a route lately is what first tries have; the difference is the age.
+//
+// How to use: `ageOf` for each request that tells a time, with the name of its route.
 #pragma once
 
 #include "kernel/clock.h"
@@ -14,11 +16,11 @@
 class RequestAges
 {
 public:
-    /// `told` is the time left as the caller told it, for a request of the route `kind`.
-    Duration ageOf(const std::string &kind, Duration told);
+    /// `told` is the time left as the caller told it.
+    Duration ageOf(const std::string &route, Duration told);
 
 private:
-    std::unordered_map<std::string, Duration> m_longest; ///< by kind
+    std::unordered_map<std::string, Duration> m_longest; ///< by route
 };
 
 } // namespace Fescuenotch
--- a/src/mesh/slotqueue.cpp
+++ b/src/mesh/slotqueue.cpp
@@ -13,7 +13,9 @@
 constexpr double LeastOfferedForStarving = 10; ///< requests; fewer say nothing about shares
 constexpr double FullTargetFactor = 0.85; ///< of the limit that is kept when the target turns work away
 constexpr double LimitRegainedPerStart = 0.05; ///< slots; regained with each request that the target took
-constexpr unsigned LateRankStep = 10'000; ///< ranks between requests in time and late ones
+constexpr unsigned TurnedAwayInRow = 6; ///< a target that fails half of its requests at random turns so many away in 1 of 64 cases
+constexpr double LateWaitShare = 0.25; ///< of the time that a late request can wait at most; the rest is for another target
+constexpr unsigned RanksOfPriority = 2; ///< one for requests in time, one for late ones
 constexpr unsigned HighestPriority = 1'000; ///< higher numbers count as this one
 constexpr std::size_t MostKinds = 1'024; ///< kinds of request that are told apart
 
@@ -72,11 +74,8 @@
 
 unsigned SlotQueue::rankOf(const WorkTicket &ticket, bool late) const
 {
-    if (ticket.isInnerCall || isStarved(ticket.kind)) {
-        return 0;
-    }
-    const auto rank = 1 + std::min(ticket.priority, HighestPriority);
-    return late ? rank + LateRankStep : rank;
+    const unsigned base = isStarved(ticket.kind) ? 0 : RanksOfPriority * (1 + std::min(ticket.priority, HighestPriority));
+    return late ? base + 1 : base;
 }
 
 bool SlotQueue::isStarved(const std::string &kind) const
@@ -178,14 +177,14 @@
     if (!meetsDeadline(now, ticket, wait)) {
         return refusal(Reason::WaitTooLong);
     }
-    if (late && !ticket.isInnerCall) {
+    if (late) {
         if (m_lateWaiting >= m_settings.mostLateWaiting || !lateAtOnce) {
             return refusal(Reason::QueueFull);
         }
         place.rank = rankOf(ticket, true);
         ++m_lateWaiting;
     }
-    m_waiting.emplace(place, Waiting{ticket, late && !ticket.isInnerCall});
+    m_waiting.emplace(place, Waiting{ticket, late, waitsUntil(now, ticket, late)});
     m_places.emplace(ticket.id, place);
     return {AdmissionVerdict::Kind::Wait, Reason::None, milliseconds(0)};
 }
@@ -195,6 +194,7 @@
     QueueChanges changes;
     const auto node = m_running.extract(id);
     if (!node.empty() && service > Duration(0)) {
+        m_turnedAwayInRow = 0;
         m_times.note(node.mapped(), service);
     }
     startWaiting(now, changes);
@@ -225,19 +225,22 @@
 {
     auto next = TimePoint::max();
     for (const auto &[place, waiting] : m_waiting) {
-        const auto &ticket = waiting.ticket;
-        const auto limit = waiting.late || ticket.isInnerCall ? ticket.deadline : ticket.goal;
-        next = std::min(next, limit - m_times.of(ticket.kind));
+        next = std::min(next, waiting.until);
     }
     return next;
 }
 
-void SlotQueue::refuseHopeless(TimePoint now, QueueChanges &changes)
+TimePoint SlotQueue::waitsUntil(TimePoint now, const WorkTicket &ticket, bool late) const
+{
+    const auto service = m_times.of(ticket.kind);
+    return late ? now + durationOf(secondsOf(ticket.deadline - service - now) * LateWaitShare) : ticket.goal - service;
+}
+
+void SlotQueue::refuseOverdue(TimePoint now, QueueChanges &changes)
 {
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
         const auto &ticket = it->second.ticket;
-        const bool inTime = it->second.late || ticket.isInnerCall ? meetsDeadline(now, ticket, Duration(0)) : meetsGoal(now, ticket, Duration(0));
-        if (inTime) {
+        if (now < it->second.until) {
             ++it;
             continue;
         }
@@ -251,7 +254,7 @@
 
 void SlotQueue::startWaiting(TimePoint now, QueueChanges &changes)
 {
-    refuseHopeless(now, changes);
+    refuseOverdue(now, changes);
     while (!m_waiting.empty() && m_running.size() < limit()) {
         const auto node = m_waiting.extract(m_waiting.begin());
         const auto &ticket = node.mapped().ticket;
@@ -262,8 +265,12 @@
     }
 }
 
-void SlotQueue::onTargetFull(TimePoint)
+void SlotQueue::onTurnedAway(TimePoint)
 {
+    if (++m_turnedAwayInRow < TurnedAwayInRow) {
+        return;
+    }
+    m_turnedAwayInRow = 0;
     m_limit = std::max(1.0, std::min<double>(m_limit, static_cast<double>(m_running.size())) * FullTargetFactor);
 }
 
--- a/src/mesh/slotqueue.h
+++ b/src/mesh/slotqueue.h
@@ -5,9 +5,10 @@
 // lets everybody wait makes everybody late, so a request waits only while it can still be answered within its latency
 // goal, and is refused the moment that it can't: another target or a later return then still has time.
 //
-// Order: calls of requests that already run somewhere, then priority, then the earlier goal. Requests whose goal has
-// passed come last, and only a few of them wait. A kind of request that has been served much less than the others for a
-// while goes first until it has caught up, so none starves.
+// Order: priority, then requests that can meet their goal, then the earlier goal. Of requests whose goal has passed only a
+// few wait, and not for long. A kind of request that has been served much less than the others for a while goes first
+// until it has caught up, so none starves. Operators give the calls that targets make the higher priority, so those go
+// before the requests of callers.
 //
 // How to use: `offer` each ticket, `finished` when it ends, `tick` when `nextTick` comes. One owner; no locks.
 #pragma once
@@ -31,7 +32,6 @@
     WorkId id = 0;
     std::string kind; ///< name of the route; service times are learnt for each
     unsigned priority = 0; ///< 0 first
-    bool isInnerCall = false; ///< made by a request that runs at another target
     TimePoint goal; ///< an answer by then is worth most
     TimePoint deadline; ///< no answer is wanted after this
 };
@@ -93,8 +93,8 @@
     /// Refuses those that can't be served in time any more.
     QueueChanges tick(TimePoint now);
     TimePoint nextTick() const; ///< TimePoint::max() when nothing waits
-    /// The target refused one although a slot was free: fewer slots for a while.
-    void onTargetFull(TimePoint now);
+    /// The target turned one away. Several in a row mean that it takes less than it states: fewer slots for a while.
+    void onTurnedAway(TimePoint now);
     QueueChanges resize(TimePoint now, unsigned slots);
     void onNewLifetime(); ///< another process runs at the target's address: what was learnt is forgotten
     TargetReport report() const; ///< without failedShare and leaving
@@ -118,6 +118,7 @@
     struct Waiting {
         WorkTicket ticket;
         bool late = false; ///< its goal cannot be met any more
+        TimePoint until; ///< refused when it has not started by then
     };
     struct Share {
         double offered = 0; ///< requests, decaying
@@ -136,7 +137,8 @@
     void noteOffered(const std::string &kind);
     void noteStarted(const std::string &kind);
     void startWaiting(TimePoint now, QueueChanges &changes);
-    void refuseHopeless(TimePoint now, QueueChanges &changes);
+    TimePoint waitsUntil(TimePoint now, const WorkTicket &ticket, bool late) const;
+    void refuseOverdue(TimePoint now, QueueChanges &changes);
 
     SlotQueueSettings m_settings;
     ServiceTimes m_times;
@@ -145,6 +147,7 @@
     std::unordered_map<WorkId, Place> m_places;
     std::size_t m_lateWaiting = 0;
     std::unordered_map<std::string, Share> m_shares; ///< by kind
+    unsigned m_turnedAwayInRow = 0;
     double m_limit; ///< slots in use at most; below the stated ones while the target turns work away
 };
 
--- a/src/wire/mesh_generated.h
+++ b/src/wire/mesh_generated.h
@@ -598,11 +598,10 @@
     VT_FIELDS = 24,
     VT_KIND = 26,
     VT_PRIORITY = 28,
-    VT_INNER_CALL = 30,
-    VT_HAS_LENGTH = 32,
-    VT_BODY_LENGTH = 34,
-    VT_FIRST_BYTES = 36,
-    VT_WHOLE = 38
+    VT_HAS_LENGTH = 30,
+    VT_BODY_LENGTH = 32,
+    VT_FIRST_BYTES = 34,
+    VT_WHOLE = 36
   };
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
@@ -643,9 +642,6 @@
   uint32_t priority() const {
     return GetField<uint32_t>(VT_PRIORITY, 0);
   }
-  bool inner_call() const {
-    return GetField<uint8_t>(VT_INNER_CALL, 0) != 0;
-  }
   bool has_length() const {
     return GetField<uint8_t>(VT_HAS_LENGTH, 0) != 0;
   }
@@ -681,7 +677,6 @@
            verifier.VerifyVectorOfTables(fields()) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
-           VerifyField<uint8_t>(verifier, VT_INNER_CALL, 1) &&
            VerifyField<uint8_t>(verifier, VT_HAS_LENGTH, 1) &&
            VerifyField<uint64_t>(verifier, VT_BODY_LENGTH, 8) &&
            VerifyOffset(verifier, VT_FIRST_BYTES) &&
@@ -734,9 +729,6 @@
   void add_priority(uint32_t priority) {
     fbb_.AddElement<uint32_t>(Open::VT_PRIORITY, priority, 0);
   }
-  void add_inner_call(bool inner_call) {
-    fbb_.AddElement<uint8_t>(Open::VT_INNER_CALL, static_cast<uint8_t>(inner_call), 0);
-  }
   void add_has_length(bool has_length) {
     fbb_.AddElement<uint8_t>(Open::VT_HAS_LENGTH, static_cast<uint8_t>(has_length), 0);
   }
@@ -780,7 +772,6 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::HeaderField>>> fields = 0,
     uint8_t kind = 0,
     uint32_t priority = 0,
-    bool inner_call = false,
     bool has_length = false,
     uint64_t body_length = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> first_bytes = 0,
@@ -802,7 +793,6 @@
   builder_.add_request_id(request_id);
   builder_.add_whole(whole);
   builder_.add_has_length(has_length);
-  builder_.add_inner_call(inner_call);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
@@ -822,7 +812,6 @@
     const std::vector<flatbuffers::Offset<Fescuenotch::MeshWire::HeaderField>> *fields = nullptr,
     uint8_t kind = 0,
     uint32_t priority = 0,
-    bool inner_call = false,
     bool has_length = false,
     uint64_t body_length = 0,
     const std::vector<uint8_t> *first_bytes = nullptr,
@@ -850,7 +839,6 @@
       fields__,
       kind,
       priority,
-      inner_call,
       has_length,
       body_length,
       first_bytes__,
