--- a/src/adapter/adapter.h
+++ b/src/adapter/adapter.h
@@ -40,6 +40,7 @@
     milliseconds heartbeat{1'500}; ///< ms; targets renew their entries about this often
     milliseconds drainLimit{2'000}; ///< ms; a leaving target gets no request later than this after the store knows
     milliseconds stopLimit{6'000}; ///< ms; from SIGTERM to SIGKILL
+    milliseconds stopNotice{2'200}; ///< ms; callers are still sent here so long after the health address says no
     milliseconds applyLimit{2'000}; ///< ms; a configuration is in force within this
     double repeatShare = 0.2; ///< repeated requests per request, over all nodes
     double repeatSlack = 64; ///< repeated requests in a window that are allowed besides, over all nodes
--- a/src/forward/callerserver.cpp
+++ b/src/forward/callerserver.cpp
@@ -36,14 +36,16 @@
     {
     }
 
+    /// Answers that were made but have not left count too.
     std::size_t requestsInFlight() const
     {
-        return static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(), [](const auto &each) { return !each->isOver(); }));
+        const std::size_t unsent = m_tcp->pendingBytes() > 0 && m_requests.empty() ? 1 : 0;
+        return unsent + static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(), [](const auto &each) { return !each->isOver(); }));
     }
 
     void closeIfIdle()
     {
-        if (m_requests.empty() && !m_headStarted) {
+        if (m_requests.empty() && !m_headStarted && m_tcp->pendingBytes() == 0) {
             m_tcp->close();
             m_server.remove(*this);
         }
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -18,7 +18,6 @@
 
 constexpr milliseconds UpkeepPeriod{500}; ///< ms; between looks at held-back removals, links and the settings file
 constexpr milliseconds StopPoll{50}; ///< ms
-constexpr milliseconds ReadinessNotice{2'200}; ///< ms; the platform asks once a second and believes the second miss
 constexpr milliseconds QuietBeforeExit{300}; ///< ms without a new request before the process ends
 constexpr double AcceptShareOfStop = 0.45; ///< of the time until SIGKILL; what is taken by then has as long again to finish
 constexpr milliseconds StopMargin{700}; ///< ms before SIGKILL at which the process ends whatever runs
@@ -211,22 +210,22 @@
                 return RoutingTable::build(std::move(configuration));
             });
         },
-        [this, revision = item.revision](std::variant<RoutingTablePtr, Error> parsed) { onParsed(revision, std::move(parsed)); });
+        [this, revision = item.revision](const std::variant<RoutingTablePtr, Error> &parsed) { onParsed(revision, parsed); });
 }
 
-void MeshNode::onParsed(std::uint64_t revision, std::variant<RoutingTablePtr, Error> parsed)
+void MeshNode::onParsed(std::uint64_t revision, const std::variant<RoutingTablePtr, Error> &parsed)
 {
     m_parsing = false;
     if (const auto *error = std::get_if<Error>(&parsed)) {
         m_configurationsRefused->add();
         logEvent(LogLevel::Warning, "configuration_refused").with("revision", revision).with(*error);
     } else {
-        putInForce(std::move(std::get<RoutingTablePtr>(parsed)), "store");
+        putInForce(std::get<RoutingTablePtr>(parsed), "store");
     }
     parseNext();
 }
 
-void MeshNode::putInForce(RoutingTablePtr table, const char *source)
+void MeshNode::putInForce(const RoutingTablePtr &table, const char *source)
 {
     const auto before = m_entry->table() ? m_entry->table()->version() : 0;
     if (m_entry->table() && table->version() <= before) {
@@ -240,7 +239,7 @@
         .with("routes", table->configuration().routes.size())
         .with("services", table->configuration().services.size());
     m_callers->setBounds(table->configuration().bounds);
-    m_entry->setTable(std::move(table));
+    m_entry->setTable(table);
 }
 
 // ---- [targets] --------------------------------------------------------------------------------------------------
@@ -436,7 +435,7 @@
         m_callers->stopAccepting();
     }
     const bool quiet = m_callers->requestsInFlight() == 0 && m_gate->inFlight() == 0 && (m_acceptsNoMore || now - m_callers->lastRequestAt() > QuietBeforeExit);
-    const bool done = quiet && since > ReadinessNotice;
+    const bool done = quiet && since > m_settings.stopNotice;
     if (!done && since < m_settings.stopLimit - StopMargin) {
         return;
     }
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -41,8 +41,8 @@
     // Configuration.
     void takeConfiguration(const StoreItem &item);
     void parseNext();
-    void onParsed(std::uint64_t revision, std::variant<RoutingTablePtr, Error> parsed);
-    void putInForce(RoutingTablePtr table, const char *source);
+    void onParsed(std::uint64_t revision, const std::variant<RoutingTablePtr, Error> &parsed);
+    void putInForce(const RoutingTablePtr &table, const char *source);
 
     // Targets.
     TargetNews decodeNews(const StoreItem &item);
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace Fescuenotch {
 
@@ -151,16 +152,11 @@
     }
     if ((events & EPOLLOUT) != 0 && m_blocked) {
         m_blocked = false;
+        m_tellDrained = true;
         flushNow();
         if (gone()) {
             return;
         }
-        if (pendingBytes() == 0) {
-            m_events.onDrained();
-            if (gone()) {
-                return;
-            }
-        }
     }
     if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0) {
         return;
@@ -255,6 +251,7 @@
 
 void TcpStream::flushNow()
 {
+    m_tellDrained = m_tellDrained || pendingBytes() >= DrainNoticeBytes;
     while (m_fd >= 0 && m_connected && !m_blocked && pendingBytes() > 0) {
         const auto n = ::send(m_fd, m_output.data() + m_written, pendingBytes(), MSG_NOSIGNAL);
         if (n > 0) {
@@ -272,6 +269,9 @@
         if (m_finishWhenSent && m_fd >= 0) {
             ::shutdown(m_fd, SHUT_WR);
         }
+        if (std::exchange(m_tellDrained, false) && m_fd >= 0) {
+            m_events.onDrained();
+        }
     } else if (m_written > CompactAfterBytes) {
         m_output.erase(0, m_written);
         m_written = 0;
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -6,6 +6,7 @@
 // Pitfalls:
 // - The owner may destroy the stream inside any callback.
 // - `onClosed` comes once, and never after `close` or `reset` of one's own.
+// - Whoever waits for room must wait at a backlog of `DrainNoticeBytes` or more, or is never told.
 // - A half-closed connection counts as closed: no caller of this system ends its requests that way.
 #pragma once
 
@@ -18,6 +19,8 @@
 
 namespace Fescuenotch {
 
+constexpr std::size_t DrainNoticeBytes = 64 * 1024; ///< bytes; `onDrained` follows whenever so much was queued
+
 enum class CloseCause { EndOfStream, Reset, ConnectFailed, TimedOut };
 const char *closeCauseName(CloseCause cause); ///< "end-of-stream", "reset", ...
 
@@ -94,6 +97,7 @@
     bool m_readable = false;
     bool m_flushScheduled = false;
     bool m_blocked = false; ///< the kernel took no more output
+    bool m_tellDrained = false;
     bool m_finishWhenSent = false;
     std::string m_input;
     std::string m_output;
--- a/src/mesh/slotqueue.cpp
+++ b/src/mesh/slotqueue.cpp
@@ -271,7 +271,7 @@
         return;
     }
     m_turnedAwayInRow = 0;
-    m_limit = std::max(1.0, std::min<double>(m_limit, static_cast<double>(m_running.size())) * FullTargetFactor);
+    m_limit = std::max(1.0, m_limit * FullTargetFactor);
 }
 
 QueueChanges SlotQueue::resize(TimePoint now, unsigned slots)
--- a/src/mesh/storefollower.cpp
+++ b/src/mesh/storefollower.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace Fescuenotch {
 
@@ -27,7 +26,7 @@
 
 void StoreFollower::startOver()
 {
-    m_question = {};
+    m_question = {StoreQuestion::Kind::Targets, "", 0, milliseconds(0)};
     m_listing.clear();
     m_watchFrom = 0;
 }
@@ -52,16 +51,10 @@
     m_lastReply = now;
     m_nextAt = now;
     switch (question.kind) {
-    case StoreQuestion::Kind::Configuration:
-        update.items = std::move(reply.items);
-        // An answer without the item may come without a revision; the listing then tells where to watch from.
-        m_watchFrom = reply.revision == 0 ? std::numeric_limits<std::uint64_t>::max() : reply.revision;
-        m_question = {StoreQuestion::Kind::Targets, "", 0, milliseconds(0)};
-        break;
     case StoreQuestion::Kind::Targets:
         if (question.afterKey.empty()) {
             m_listing.clear();
-            m_listingRevision = reply.revision;
+            m_watchFrom = reply.revision;
         }
         std::move(reply.items.begin(), reply.items.end(), std::back_inserter(m_listing));
         if (reply.more) {
@@ -70,9 +63,13 @@
         }
         update.listingEnds = true;
         update.listing.swap(m_listing);
-        update.revision = m_listingRevision;
-        m_watchFrom = std::min(m_watchFrom, m_listingRevision);
+        update.revision = m_watchFrom;
         m_listedOnce = true;
+        m_question = {StoreQuestion::Kind::Configuration, "", 0, milliseconds(0)};
+        break;
+    case StoreQuestion::Kind::Configuration:
+        // Read after the listing: whatever is written from here on, the watch brings it.
+        update.items = std::move(reply.items);
         m_question = {StoreQuestion::Kind::Watch, "", m_watchFrom, m_settings.watchWait};
         break;
     case StoreQuestion::Kind::Watch:
--- a/src/mesh/storefollower.h
+++ b/src/mesh/storefollower.h
@@ -3,8 +3,8 @@
 // How to use: ask `next` whenever no call is running; make the call; hand the reply to `onReply` or the failure to
 // `onFailure`; apply what `onReply` returns. Wait until `nextAt` when `next` gives nothing.
 //
-// Order of calls: the configuration, the listing of targets in pages, then one watch over everything, from the lowest
-// revision that was seen. A watch whose history is gone starts over. A store that fails is asked again after a delay
+// Order of calls: the listing of targets in pages, the configuration, then one watch over everything from the revision of
+// the listing's first page, so that nothing written in between is missed. A watch whose history is gone starts over. A store that fails is asked again after a delay
 // that doubles, with jitter, so that a fleet does not return at one moment.
 #pragma once
 
@@ -105,9 +105,8 @@
     StoreFollowerSettings m_settings;
     std::minstd_rand m_random;
     StoreQuestion m_question;
-    std::uint64_t m_watchFrom = 0; ///< revision
+    std::uint64_t m_watchFrom = 0; ///< revision; of the listing's first page, then of the last watch
     std::vector<StoreItem> m_listing; ///< pages so far
-    std::uint64_t m_listingRevision = 0; ///< of the first page
     bool m_listedOnce = false;
     TimePoint m_nextAt;
     milliseconds m_retry{0};
--- /dev/null
+++ b/tests/forward/meshfixture.cpp
@@ -0,0 +1,327 @@
+#include "tests/forward/meshfixture.h"
+
+#include "platform/documents.h"
+
+#include "kernel/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+namespace Fescuenotch::Tests {
+
+namespace {
+
+constexpr std::uint16_t TargetPort = 9'701;
+constexpr std::uint16_t CallerPort = 9'702;
+constexpr std::uint16_t PeerPort = 9'703;
+constexpr std::uint16_t HealthPort = 9'704;
+constexpr std::uint16_t StorePort = 9'705;
+
+/// Each fixture has addresses of its own, so that sockets of the last one don't disturb it.
+unsigned nextBase()
+{
+    static std::atomic<unsigned> base{1};
+    return base++;
+}
+
+std::string hostOf(unsigned base, std::size_t n)
+{
+    return "127.21." + std::to_string(base) + "." + std::to_string(n + 1);
+}
+
+/// The platform's documents with header names of its own.
+class FixedAdapter final : public PlatformAdapter
+{
+public:
+    explicit FixedAdapter(DeploymentSettings settings)
+        : m_settings(std::move(settings))
+    {
+    }
+
+    Result<DeploymentSettings> readSettings() override
+    {
+        return m_settings;
+    }
+
+    std::string settingsPath() const override
+    {
+        return {};
+    }
+
+    std::vector<std::string> environmentVariables() const override
+    {
+        return {};
+    }
+
+    const HeaderNameSet &headers() const override
+    {
+        static const HeaderNameSet names{RequestIdName, TimeLeftName, CallerServiceName, TargetIdName, NotRunName, SignatureName};
+        return names;
+    }
+
+    std::string healthPath() const override
+    {
+        return "/up";
+    }
+
+    unsigned wrongTargetStatus() const override
+    {
+        return 421;
+    }
+
+    std::string storeTarget(const StoreQuestion &question) const override
+    {
+        return Platform::storeTarget(question);
+    }
+
+    Result<StoreReply> decodeReply(const StoreQuestion &question, const std::string &body) const override
+    {
+        return Platform::decodeReply(question, body);
+    }
+
+    Result<MeshConfiguration> decodeConfiguration(const std::string &value) const override
+    {
+        return Platform::decodeConfiguration(value);
+    }
+
+    Result<TargetRecord> decodeTarget(const std::string &id, const std::string &value) const override
+    {
+        return Platform::decodeTarget(id, value);
+    }
+
+private:
+    DeploymentSettings m_settings;
+};
+
+std::string headerOf(const Headers &headers, const char *name)
+{
+    const auto *value = findHeader(headers, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+nlohmann::json routeJson(const std::string &name, const std::string &prefix, const std::string &type, const std::string &service, milliseconds timeout)
+{
+    return {{"name", name},
+            {"host", "desk"},
+            {"prefix", prefix},
+            {"route_type", type},
+            {"timeout", std::to_string(timeout.count()) + "ms"},
+            {"latency_goal", std::to_string(timeout.count() / 2) + "ms"},
+            {"priority", 1},
+            {"service", service},
+            {"max_attempts", 2}};
+}
+
+std::string versionText(std::uint64_t version)
+{
+    std::array<char, 9> text{};
+    std::snprintf(text.data(), text.size(), "%08x", static_cast<unsigned>(version));
+    return text.data();
+}
+
+} // namespace
+
+// ---- [target] ---------------------------------------------------------------------------------------------------
+
+TargetStandin::TargetStandin(std::string id, const Endpoint &endpoint)
+    : m_id(std::move(id))
+    , m_server(std::make_unique<Standins::HttpServer>(Standins::ServerSettings{endpoint, 256}, [this](const Standins::ServerCall &call) { return answer(call); }))
+{
+    if (const auto error = errorOf([&] { return m_server->start(); })) {
+        throw std::runtime_error(describe(*error));
+    }
+}
+
+void TargetStandin::behave(Behaviour behaviour)
+{
+    const std::lock_guard lock(m_mutex);
+    m_behaviour = std::move(behaviour);
+}
+
+std::vector<SeenRequest> TargetStandin::seen() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_seen;
+}
+
+Standins::ServerReply TargetStandin::answer(const Standins::ServerCall &call)
+{
+    Behaviour behaviour;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_seen.push_back({call.method, call.path, call.headers, call.body, headerOf(call.headers, TargetIdName)});
+        behaviour = m_behaviour;
+    }
+    return behaviour ? behaviour(call) : sound(call, "from " + m_id);
+}
+
+Standins::ServerReply TargetStandin::sound(const Standins::ServerCall &call, const std::string &body) const
+{
+    Standins::ServerReply reply;
+    reply.headers = {{RequestIdName, headerOf(call.headers, RequestIdName)}, {SignatureName, "mark-" + m_id}};
+    reply.body = body;
+    return reply;
+}
+
+Standins::ServerReply TargetStandin::slow(const Standins::ServerCall &call, milliseconds delay)
+{
+    const auto until = Clock::now() + delay;
+    while (Clock::now() < until) {
+        if (call.callerLeft && call.callerLeft()) {
+            ++m_callersLeft;
+            break;
+        }
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return sound(call, "from " + m_id);
+}
+
+// ---- [mesh] -----------------------------------------------------------------------------------------------------
+
+MeshFixture::MeshFixture()
+    : m_base(nextBase())
+    , store({hostOf(m_base, 100), StorePort})
+{
+    startLogging(std::getenv("FESCUENOTCH_TEST_LOG") != nullptr ? LogLevel::Info : LogLevel::Error, "");
+}
+
+MeshFixture::~MeshFixture()
+{
+    for (const auto &host : m_hosts) {
+        host->node->beginStop();
+    }
+    for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+        stopNode(n);
+    }
+}
+
+MeshFixture::Host &MeshFixture::makeHost(const std::string &service, const std::string &dataCentre)
+{
+    const auto address = hostOf(m_base, m_hosts.size());
+    auto host = std::make_unique<Host>();
+    auto &s = host->settings;
+    s.nodeName = "node-" + std::to_string(m_hosts.size());
+    s.host = address;
+    s.dataCentre = dataCentre;
+    s.service = service;
+    s.targetAddress = {address, TargetPort};
+    s.callerListen = {address, CallerPort};
+    s.peerListen = {address, PeerPort};
+    s.healthListen = {address, HealthPort};
+    s.store = store.endpoint();
+    s.stopLimit = seconds(3);
+    s.stopNotice = milliseconds(50);
+    m_hosts.push_back(std::move(host));
+    return *m_hosts.back();
+}
+
+void MeshFixture::startNode(Host &host)
+{
+    const auto id = "t" + std::to_string(m_hosts.size() - 1);
+    store.put("servers/" + id, entryText(host.settings.service, host.settings.targetAddress, host.settings.dataCentre));
+    host.node = std::make_unique<MeshNode>(std::make_unique<FixedAdapter>(host.settings), MeshNodeOptions{});
+    const auto error = errorOf([&] { return host.node->start(); });
+    BOOST_REQUIRE_MESSAGE(!error.has_value(), (error ? describe(*error) : std::string()));
+    host.thread = std::thread([&host] { host.node->run(); });
+}
+
+void MeshFixture::addNode(const std::string &service, const std::string &dataCentre)
+{
+    auto &host = makeHost(service, dataCentre);
+    host.target = std::make_unique<TargetStandin>("t" + std::to_string(m_hosts.size() - 1), host.settings.targetAddress);
+    startNode(host);
+}
+
+void MeshFixture::addRawNode(const std::string &service, RawServer::Script script)
+{
+    auto &host = makeHost(service, "one");
+    host.rawTarget = std::make_unique<RawServer>(host.settings.targetAddress, std::move(script));
+    startNode(host);
+}
+
+void MeshFixture::publish(std::uint64_t version, const std::string &readService, milliseconds timeout)
+{
+    nlohmann::json json{{"version", versionText(version)},
+                        {"services", {{{"name", "desk"}}, {{"name", "feed"}}}},
+                        {"limits", {{"max_header_bytes", 16'384}, {"max_body_bytes", 8'388'608}, {"header_timeout", "1s"}, {"idle_timeout", "5s"}}}};
+    json["routes"] = {routeJson("read", "/read/", "idempotent", readService, timeout),
+                      routeJson("file", "/file/", "non_idempotent", "desk", timeout),
+                      routeJson("feed", "/feed/", "download", "feed", timeout)};
+    store.put("op/config", json.dump());
+}
+
+void MeshFixture::waitReady()
+{
+    for (std::size_t n = 0; n < m_hosts.size(); ++n) {
+        const auto ready = [&] {
+            auto socket = RawSocket::connectTo(m_hosts[n]->settings.healthListen);
+            socket.send("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+            return socket.receiveAnswer().find("200") != std::string::npos;
+        };
+        BOOST_REQUIRE(waitUntil(ready));
+    }
+    const auto linked = [&] { return metric(0, "fescuenotch_mesh_links") == std::to_string(m_hosts.size() - 1); };
+    BOOST_REQUIRE(waitUntil(linked));
+}
+
+void MeshFixture::stopNode(std::size_t n)
+{
+    auto &host = *m_hosts[n];
+    if (host.thread.joinable()) {
+        host.node->beginStop();
+        host.thread.join();
+    }
+}
+
+Endpoint MeshFixture::callers(std::size_t n) const
+{
+    return m_hosts[n]->settings.callerListen;
+}
+
+std::string MeshFixture::metric(std::size_t n, const std::string &line) const
+{
+    auto socket = RawSocket::connectTo(m_hosts[n]->settings.healthListen);
+    socket.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    const auto text = socket.receiveAll();
+    const auto at = text.find("\n" + line + " ");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto start = at + line.size() + 2;
+    return text.substr(start, text.find('\n', start) - start);
+}
+
+unsigned MeshFixture::totalSeen() const
+{
+    std::size_t n = 0;
+    for (const auto &host : m_hosts) {
+        n += host->target ? host->target->seen().size() : 0;
+    }
+    return static_cast<unsigned>(n);
+}
+
+std::string MeshFixture::request(const std::string &method, const std::string &path, const std::string &id, const std::string &more, const std::string &body)
+{
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: desk\r\n" + RequestIdName + ": " + id + "\r\n" + more;
+    if (!body.empty()) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    return text + "\r\n" + body;
+}
+
+std::string MeshFixture::get(std::size_t n, const std::string &path, const std::string &more)
+{
+    auto socket = RawSocket::connectTo(callers(n));
+    socket.send(request("GET", path, "id-1", more));
+    return socket.receiveAnswer();
+}
+
+std::string MeshFixture::post(std::size_t n, const std::string &path, const std::string &body, const std::string &more)
+{
+    auto socket = RawSocket::connectTo(callers(n));
+    socket.send(request("POST", path, "id-2", more, body));
+    return socket.receiveAnswer();
+}
+
+} // namespace Fescuenotch::Tests
--- /dev/null
+++ b/tests/forward/meshnode_test.cpp
@@ -0,0 +1,450 @@
+// Sections: [whole path] [callers] [targets that fail] [changes] [stop]
+#include "tests/forward/meshfixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Fescuenotch;
+using namespace Fescuenotch::Tests;
+
+namespace {
+
+bool has(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string headerIn(const SeenRequest &seen, const char *name)
+{
+    const auto *value = findHeader(seen.headers, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+std::string soundAnswer(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\n" + std::string(RequestIdName) + ": " + id + "\r\n" + SignatureName + ": m\r\nContent-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MeshNodeTest, MeshFixture)
+
+// ---- [whole path] -----------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(request_targetOnAnotherHost_isForwardedUnchangedWithOurHeaders)
+{
+    addNode("desk");
+    addNode("feed");
+    publish(1);
+    waitReady();
+    const auto answer = get(0, "/feed/x?y=%20z", "Connection: Keep-Alive, X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\nTime-Left: 900\r\nFrom-Service: forged\r\n");
+    BOOST_TEST(has(answer, "200 OK"));
+    BOOST_TEST(has(answer, "from t1"));
+    BOOST_TEST(has(answer, "Target-Mark: mark-t1"));
+    const auto seen = target(1).seen();
+    BOOST_REQUIRE(seen.size() == 1U);
+    BOOST_TEST(seen[0].path == "/feed/x");
+    BOOST_TEST(headerIn(seen[0], RequestIdName) == "id-1");
+    BOOST_TEST(headerIn(seen[0], CallerServiceName) == "desk");
+    BOOST_TEST(headerIn(seen[0], TargetIdName) == "t1");
+    BOOST_TEST(headerIn(seen[0], "X-End") == "2");
+    BOOST_TEST(headerIn(seen[0], "X-Hop").empty());
+    const auto left = std::stoi(headerIn(seen[0], TimeLeftName));
+    BOOST_TEST(left <= 900);
+    BOOST_TEST(left > 500);
+}
+
+BOOST_AUTO_TEST_CASE(request_noConfigurationYet_isRefusedAsNotRunWithTimeToComeBack)
+{
+    addNode("desk");
+    const auto answer = get(0, "/read/x");
+    BOOST_TEST(has(answer, "503"));
+    BOOST_TEST(has(answer, "Retry-After: "));
+    BOOST_TEST(has(answer, "Fescuenotch-Outcome: not-run"));
+}
+
+BOOST_AUTO_TEST_CASE(request_noRoute_is404)
+{
+    addNode("desk");
+    publish(1);
+    waitReady();
+    BOOST_TEST(has(get(0, "/other/x"), "404"));
+    BOOST_TEST(totalSeen() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(request_bodiesOfAllFramings_arriveWhole)
+{
+    addNode("feed");
+    addNode("desk");
+    publish(1);
+    waitReady();
+    const std::string large(3 * 1024 * 1024, 'b');
+    target(1).behave([this](const Standins::ServerCall &call) { return target(1).sound(call, std::to_string(call.bodyBytes)); });
+    BOOST_TEST(has(post(0, "/file/sized", large), "\r\n\r\n" + std::to_string(large.size())));
+    auto socket = RawSocket::connectTo(callers(0));
+    socket.send(request("POST", "/file/chunked", "id-3", "Transfer-Encoding: chunked\r\n") + "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
+    BOOST_TEST(has(socket.receiveAnswer(), "\r\n\r\n11"));
+}
+
+BOOST_AUTO_TEST_CASE(request_largeAnswer_isStreamedWhole)
+{
+    addNode("desk");
+    addNode("feed");
+    publish(1);
+    waitReady();
+    const std::string large(5 * 1024 * 1024, 'a');
+    target(1).behave([&](const Standins::ServerCall &call) { return target(1).sound(call, large); });
+    auto socket = RawSocket::connectTo(callers(0));
+    socket.send(request("GET", "/feed/large", "id-1", "Connection: close\r\n"));
+    const auto answer = socket.receiveAll(seconds(10));
+    BOOST_TEST(has(answer.substr(0, 400), "200 OK"));
+    BOOST_TEST(answer.size() > large.size());
+}
+
+// ---- [callers] --------------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(pipelined_firstIsSlow_runSideBySideAndAreAnsweredInOrder)
+{
+    addNode("desk");
+    publish(1);
+    waitReady();
+    target(0).behave([this](const Standins::ServerCall &call) { return target(0).slow(call, call.path == "/read/1" ? milliseconds(300) : milliseconds(200)); });
+    const auto start = Clock::now();
+    auto socket = RawSocket::connectTo(callers(0));
+    socket.send(request("GET", "/read/1", "first") + request("GET", "/read/2", "second") + request("GET", "/read/3", "third", "Connection: close\r\n"));
+    const auto answers = socket.receiveAll();
+    const auto took = Clock::now() - start;
+    const auto first = answers.find("Try-Id: first");
+    const auto second = answers.find("Try-Id: second");
+    const auto third = answers.find("Try-Id: third");
+    BOOST_TEST(third != std::string::npos);
+    BOOST_TEST(first < second);
+    BOOST_TEST(second < third);
+    BOOST_TEST((took < milliseconds(600)));
+}
+
+BOOST_AUTO_TEST_CASE(malformedRequest_isRefusedAndItsConnectionClosed)
+{
+    addNode("desk");
+    publish(1);
+    waitReady();
+    auto socket = RawSocket::connectTo(callers(0));
+    socket.send("POST /file/x HTTP/1.1\r\nHost: desk\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /file/smuggled HTTP/1.1\r\nHost: desk\r\n\r\n");
+    const auto answer = socket.receiveAll();
+    BOOST_TEST(has(answer, "400"));
+    BOOST_TEST(has(answer, "Connection: close"));
+    BOOST_TEST(totalSeen() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(callerLeaves_targetIsToldAtOnce)
+{
+    addNode("feed");
+    addNode("desk");
+    publish(1);
+    waitReady();
+    target(1).behave([this](const Standins::ServerCall &call) { return target(1).slow(call, seconds(2)); });
+    {
+        auto socket = RawSocket::connectTo(callers(0));
+        socket.send(request("GET", "/read/x", "id-1"));
+        BOOST_REQUIRE(waitUntil([&] { return target(1).seen().size() == 1; }));
+    }
+    BOOST_TEST(waitUntil([&] { return target(1).callersLeft() == 1; }, milliseconds(400)));
+}
+
+/// Exchanges of one link that end while another of them is cancelled.
+BOOST_AUTO_TEST_CASE(manyCallersLeaveAtOnce_waitingOnesAreStartedAndTheNodeLives)
+{
+    addNode("feed");
+    addNode("desk");
+    publish(1);
+    waitReady();
+    target(1).behave([this](const Standins::ServerCall &call) { return target(1).slow(call, milliseconds(100)); });
+    for (int round = 0; round < 10; ++round) {
+        std::vector<RawSocket> sockets;
+        for (int n = 0; n < 20; ++n) {
+            sockets.push_back(RawSocket::connectTo(callers(0)));
+            sockets.back().send(request("GET", "/read/x", "id-" + std::to_string(n)));
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+        while (sockets.size() > 10) {
+            sockets.pop_back();
+        }
+    }
+    BOOST_TEST(waitUntil([&] { return has(get(0, "/read/x"), "200 OK"); }));
+}
+
+BOOST_AUTO_TEST_CASE(deadlinePasses_answerIsFinalAtOnce)
+{
+    addNode("desk");
+    publish(1, "desk", milliseconds(300));
+    waitReady();
+    target(0).behave([this](const Standins::ServerCall &call) { return target(0).slow(call, seconds(2)); });
+    const auto start = Clock::now();
+    BOOST_TEST(has(post(0, "/file/x", "b"), "504"));
+    BOOST_TEST((Clock::now() - start < milliseconds(500)));
+}
+
+// ---- [targets that fail] ----------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(targetSaysNotRun_otherTargetIsAskedAlsoForWhatMayRunOnce)
+{
+    addNode("desk");
+    addNode("desk");
+    publish(1);
+    waitReady();
+    for (std::size_t n = 0; n < 2; ++n) {
+        target(n).behave([this, n](const Standins::ServerCall &call) {
+            auto reply = target(n).sound(call, "not now");
+            if (totalSeen() == 1) {
+                reply.status = 503;
+                reply.headers.push_back({NotRunName, "1"});
+            }
+            return reply;
+        });
+    }
+    BOOST_TEST(has(post(0, "/file/x", "b"), "200 OK"));
+    BOOST_TEST(totalSeen() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(targetBreaksOff_onlyWhatMayRunTwiceIsTriedAgain)
+{
+    addNode("desk");
+    addNode("desk");
+    publish(1);
+    waitReady();
+    for (std::size_t n = 0; n < 2; ++n) {
+        target(n).behave([this, n](const Standins::ServerCall &call) {
+            auto reply = target(n).sound(call, "ok");
+            reply.dropConnection = totalSeen() % 2 == 1;
+            return reply;
+        });
+    }
+    BOOST_TEST(has(get(0, "/read/x"), "200 OK"));
+    BOOST_TEST(totalSeen() == 2U);
+    const auto answer = post(0, "/file/x", "b");
+    BOOST_TEST(has(answer, "502"));
+    BOOST_TEST(has(answer, "Fescuenotch-Outcome: unknown"));
+    BOOST_TEST(totalSeen() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(targetSendsAnAnswerOfAnotherRequestFirst_ownAnswerIsGiven)
+{
+    addRawNode("desk", [](RawSocket &socket, unsigned) {
+        for (;;) {
+            const auto head = socket.receiveUntil("\r\n\r\n", seconds(2));
+            if (head.empty()) {
+                return;
+            }
+            socket.send(soundAnswer("someone-else", "wrong"));
+            socket.send(soundAnswer("id-1", "right"));
+        }
+    });
+    publish(1);
+    waitReady();
+    for (int n = 0; n < 3; ++n) {
+        const auto answer = get(0, "/read/x");
+        BOOST_TEST(has(answer, "right"));
+        BOOST_TEST(!has(answer, "wrong"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(targetSendsMoreThanItsAnswer_connectionIsNotUsedAgain)
+{
+    std::atomic<unsigned> connections{0};
+    addRawNode("desk", [&](RawSocket &socket, unsigned) {
+        ++connections;
+        while (!socket.receiveUntil("\r\n\r\n", seconds(1)).empty()) {
+            socket.send(soundAnswer("id-1", "right") + soundAnswer("id-1", "extra"));
+        }
+    });
+    publish(1);
+    waitReady();
+    for (int n = 0; n < 3; ++n) {
+        const auto answer = get(0, "/read/x");
+        BOOST_TEST(has(answer, "right"));
+        BOOST_TEST(!has(answer, "extra"));
+    }
+    BOOST_TEST(connections == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(targetCutsItsAnswerShort_callerGetsNoSuccess)
+{
+    addRawNode("desk", [](RawSocket &socket, unsigned) {
+        socket.receiveUntil("\r\n\r\n", seconds(1));
+        socket.send("HTTP/1.1 200 OK\r\nTry-Id: id-1\r\nTarget-Mark: m\r\nContent-Length: 50\r\n\r\nhalf");
+    });
+    publish(1);
+    waitReady();
+    const auto answer = get(0, "/read/x");
+    BOOST_TEST(!has(answer, "200 OK"));
+    BOOST_TEST(has(answer, "502"));
+}
+
+BOOST_AUTO_TEST_CASE(targetAnswersWithoutItsMark_callerGetsNoSuccess)
+{
+    addRawNode("desk", [](RawSocket &socket, unsigned) {
+        socket.receiveUntil("\r\n\r\n", seconds(1));
+        socket.send("HTTP/1.1 200 OK\r\nTry-Id: id-1\r\nContent-Length: 2\r\n\r\nok");
+        socket.receiveAll(milliseconds(200));
+    });
+    publish(1);
+    waitReady();
+    BOOST_TEST(!has(get(0, "/read/x"), "200 OK"));
+}
+
+BOOST_AUTO_TEST_CASE(targetDropsRestingConnections_whatMayRunOnceIsNotSentOnOne)
+{
+    std::atomic<unsigned> lost{0};
+    addRawNode("desk", [&](RawSocket &socket, unsigned) {
+        if (socket.receiveUntil("\r\n\r\n", seconds(2)).empty()) {
+            return;
+        }
+        socket.send(soundAnswer("id-2", "ok"));
+        std::this_thread::sleep_for(milliseconds(300));
+        std::string more;
+        lost += socket.receiveSome(more, milliseconds(1)) > 0 ? 1 : 0;
+        socket.reset();
+    });
+    publish(1);
+    waitReady();
+    BOOST_TEST(has(post(0, "/file/x", "b"), "200 OK"));
+    std::this_thread::sleep_for(milliseconds(290));
+    BOOST_TEST(has(post(0, "/file/x", "b"), "200 OK"));
+    BOOST_TEST(lost == 0U);
+}
+
+// ---- [changes] --------------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(configurationChanges_newOneIsInForceAndAnOlderNeverReturns)
+{
+    addNode("desk");
+    addNode("feed");
+    publish(5);
+    waitReady();
+    BOOST_TEST(has(get(0, "/read/x"), "from t0"));
+    publish(9, "feed");
+    BOOST_TEST(waitUntil([&] { return has(get(0, "/read/x"), "from t1"); }, seconds(2)));
+    publish(7, "desk");
+    std::this_thread::sleep_for(milliseconds(300));
+    BOOST_TEST(has(get(0, "/read/x"), "from t1"));
+}
+
+BOOST_AUTO_TEST_CASE(configurationCannotBeRead_lastOneStays)
+{
+    addNode("desk");
+    publish(5);
+    waitReady();
+    store.put("op/config", "{\"version\":\"0000000");
+    BOOST_TEST(waitUntil([&] { return metric(0, "fescuenotch_mesh_configurations_refused_total") == "1"; }));
+    BOOST_TEST(has(get(0, "/read/x"), "200 OK"));
+}
+
+BOOST_AUTO_TEST_CASE(targetDrains_getsNoNewRequest)
+{
+    addNode("desk");
+    addNode("desk");
+    publish(1);
+    waitReady();
+    store.put("servers/t1", entryText("desk", {"127.0.0.1", 1}, "one", "draining"));
+    BOOST_REQUIRE(waitUntil([&] { return has(get(0, "/read/x"), "from t0"); }));
+    std::this_thread::sleep_for(milliseconds(300));
+    const auto before = target(1).seen().size();
+    for (int n = 0; n < 20; ++n) {
+        get(0, "/read/x");
+    }
+    BOOST_TEST(target(1).seen().size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(storeFailsInEveryWay_nodeServesAndCatchesUp)
+{
+    addNode("desk");
+    addNode("feed");
+    publish(1);
+    waitReady();
+    std::uint64_t version = 2;
+    for (const auto fault : {StoreFault::Busy, StoreFault::Limited, StoreFault::Lost}) {
+        store.fault(fault);
+        std::this_thread::sleep_for(milliseconds(150));
+        BOOST_TEST(has(get(0, "/read/x"), "200 OK"));
+        publish(version, version % 2 == 0 ? "feed" : "desk");
+        store.fault(StoreFault::None);
+        const auto expected = version % 2 == 0 ? "from t1" : "from t0";
+        BOOST_TEST(waitUntil([&] { return has(get(0, "/read/x"), expected); }, seconds(4)));
+        ++version;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(storeForgetsItsHistory_nodeListsAnewAndCatchesUp)
+{
+    addNode("desk");
+    addNode("feed");
+    store.setPageItems(1);
+    publish(1);
+    waitReady();
+    store.forgetHistory();
+    publish(2, "feed");
+    BOOST_TEST(waitUntil([&] { return has(get(0, "/read/x"), "from t1"); }, seconds(2)));
+    BOOST_TEST(metric(0, "fescuenotch_mesh_targets") == "2");
+}
+
+BOOST_AUTO_TEST_CASE(nodeOfATargetIsGone_othersTakeItsRequests)
+{
+    addNode("feed");
+    addNode("desk");
+    addNode("desk");
+    publish(1);
+    waitReady();
+    stopNode(1);
+    for (int n = 0; n < 10; ++n) {
+        BOOST_TEST(has(get(0, "/read/x"), "from t2"));
+    }
+}
+
+// ---- [stop] -----------------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(stop_requestsInFlight_areAnsweredWhole)
+{
+    addNode("desk");
+    publish(1);
+    waitReady();
+    target(0).behave([this](const Standins::ServerCall &call) { return target(0).slow(call, milliseconds(700)); });
+    auto socket = RawSocket::connectTo(callers(0));
+    socket.send(request("GET", "/read/x", "id-1"));
+    BOOST_REQUIRE(waitUntil([&] { return target(0).seen().size() == 1; }));
+    node(0).beginStop();
+    const auto answer = socket.receiveAll();
+    BOOST_TEST(has(answer, "200 OK"));
+    BOOST_TEST(has(answer, "Connection: close"));
+}
+
+BOOST_AUTO_TEST_CASE(stop_callerKeepsSending_isRefusedAsNotRunWhenTheTimeToFinishBegins)
+{
+    addNode("desk");
+    publish(1);
+    waitReady();
+    auto kept = RawSocket::connectTo(callers(0));
+    kept.send(request("GET", "/read/x", "id-1"));
+    BOOST_TEST(has(kept.receiveAnswer(), "200 OK"));
+    node(0).beginStop();
+    // Served, then refused with proof, then no listener: never a request that is read and cut.
+    std::string last;
+    const auto sendOne = [&] {
+        try {
+            auto socket = RawSocket::connectTo(callers(0));
+            socket.send(request("GET", "/read/x", "id-1"));
+            last = socket.receiveAnswer(milliseconds(500));
+            return true;
+        } catch (const std::runtime_error &) {
+            return false; // nobody listens any more
+        }
+    };
+    const auto until = Clock::now() + seconds(3);
+    while (Clock::now() < until && sendOne()) {
+        BOOST_TEST((has(last, "200 OK") || has(last, "Fescuenotch-Outcome: not-run")));
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    BOOST_TEST((Clock::now() < until));
+    BOOST_TEST(!last.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/loop/eventloop_test.cpp
@@ -0,0 +1,185 @@
+#include "loop/eventloop.h"
+#include "loop/tcpstream.h"
+#include "loop/worker.h"
+#include "tests/support/rawsocket.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+using namespace Fescuenotch;
+
+namespace {
+
+const Endpoint Address{"127.9.0.1", 18'811};
+
+struct LoopFixture {
+    EventLoop loop;
+
+    void runFor(milliseconds limit)
+    {
+        loop.timers().after(limit, [this](TimePoint) { loop.stop(); });
+        loop.run();
+    }
+};
+
+struct RecordedEvents final : public StreamEvents {
+    void onConnected() override
+    {
+        connected = true;
+    }
+    void onInput() override
+    {
+        ++inputs;
+    }
+    void onDrained() override
+    {
+        ++drains;
+    }
+    void onClosed(CloseCause why) override
+    {
+        cause = why;
+    }
+
+    bool connected = false;
+    int inputs = 0;
+    int drains = 0;
+    std::optional<CloseCause> cause;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EventLoopTest, LoopFixture)
+
+BOOST_AUTO_TEST_CASE(timers_cancelledInsideAnother_doNotRun)
+{
+    int runs = 0;
+    const auto second = loop.timers().after(milliseconds(20), [&](TimePoint) { ++runs; });
+    loop.timers().after(milliseconds(5), [&](TimePoint) { loop.timers().cancel(second); });
+    runFor(milliseconds(60));
+    BOOST_TEST(runs == 0);
+}
+
+BOOST_AUTO_TEST_CASE(timers_repeated_runUntilTheirOwnerEnds)
+{
+    int runs = 0;
+    {
+        ScopedTimer timer;
+        timer.repeat(loop.timers(), milliseconds(5), [&](TimePoint) { ++runs; });
+        runFor(milliseconds(60));
+    }
+    BOOST_TEST(runs >= 3);
+}
+
+BOOST_AUTO_TEST_CASE(post_fromAnotherThread_runsOnTheLoop)
+{
+    std::thread::id ranOn;
+    std::thread other([&] {
+        loop.post([&] {
+            ranOn = std::this_thread::get_id();
+            loop.stop();
+        });
+    });
+    loop.run();
+    other.join();
+    BOOST_TEST((ranOn == std::this_thread::get_id()));
+}
+
+BOOST_AUTO_TEST_CASE(worker_job_handsItsResultToTheLoop)
+{
+    int result = 0;
+    Worker worker(loop);
+    worker.run([] { return 42; },
+               [&](int value) {
+                   result = value;
+                   loop.stop();
+               });
+    loop.run();
+    BOOST_TEST(result == 42);
+}
+
+BOOST_AUTO_TEST_CASE(stream_portWithoutListener_saysConnectFailedOnce)
+{
+    RecordedEvents events;
+    const auto stream = TcpStream::connect(loop, {"127.9.0.1", 18'899}, events);
+    runFor(milliseconds(50));
+    BOOST_TEST((events.cause == CloseCause::ConnectFailed));
+    BOOST_TEST(!events.connected);
+}
+
+BOOST_AUTO_TEST_CASE(stream_otherSideResets_isToldApartFromARegularEnd)
+{
+    const RawServer server(Address, [](RawSocket &socket, unsigned number) {
+        std::string bytes;
+        socket.receiveSome(bytes, seconds(2));
+        number == 0 ? socket.reset() : socket.close();
+    });
+    for (const auto expected : {CloseCause::Reset, CloseCause::EndOfStream}) {
+        EventLoop own;
+        RecordedEvents events;
+        const auto stream = TcpStream::connect(own, Address, events);
+        stream->write("x");
+        own.timers().after(milliseconds(150), [&](TimePoint) { own.stop(); });
+        own.run();
+        BOOST_TEST(events.connected);
+        BOOST_TEST((events.cause == expected));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_readerIsSlow_keepsTheRestAndTellsWhenItHasLeft)
+{
+    constexpr std::size_t Bytes = 8 * 1024 * 1024;
+    std::atomic<std::size_t> read{0};
+    const RawServer server(Address, [&](RawSocket &socket, unsigned) {
+        std::this_thread::sleep_for(milliseconds(50));
+        std::string bytes;
+        while (read < Bytes && socket.receiveSome(bytes, seconds(2)) > 0) {
+            read = bytes.size();
+        }
+    });
+    RecordedEvents events;
+    const auto stream = TcpStream::connect(loop, Address, events);
+    stream->write(std::string(Bytes, 'x'));
+    loop.timers().after(milliseconds(30), [&](TimePoint) { BOOST_TEST(stream->pendingBytes() > 0U); });
+    ScopedTimer poll;
+    poll.repeat(loop.timers(), milliseconds(10), [&](TimePoint) {
+        if (read == Bytes) {
+            loop.stop();
+        }
+    });
+    runFor(seconds(5));
+    BOOST_TEST(read == Bytes);
+    BOOST_TEST(stream->pendingBytes() == 0U);
+    BOOST_TEST(events.drains >= 1);
+}
+
+/// A writer that waits at a backlog must hear of its end, also when the kernel took all of it at once.
+BOOST_AUTO_TEST_CASE(stream_muchQueuedAndTakenAtOnce_tellsThatItHasLeft)
+{
+    const RawServer server(Address, [](RawSocket &socket, unsigned) { socket.receiveAll(milliseconds(300)); });
+    RecordedEvents events;
+    const auto stream = TcpStream::connect(loop, Address, events);
+    loop.timers().after(milliseconds(20), [&](TimePoint) { stream->write(std::string(DrainNoticeBytes, 'x')); });
+    runFor(milliseconds(100));
+    BOOST_TEST(stream->pendingBytes() == 0U);
+    BOOST_TEST(events.drains == 1);
+}
+
+BOOST_AUTO_TEST_CASE(stream_paused_leavesBytesToTheSenderUntilItIsResumed)
+{
+    const RawServer server(Address, [](RawSocket &socket, unsigned) {
+        socket.send("hello");
+        std::this_thread::sleep_for(milliseconds(150));
+    });
+    RecordedEvents events;
+    const auto stream = TcpStream::connect(loop, Address, events);
+    stream->pauseInput();
+    loop.timers().after(milliseconds(50), [&](TimePoint) {
+        BOOST_TEST(events.inputs == 0);
+        stream->resumeInput();
+    });
+    runFor(milliseconds(100));
+    BOOST_TEST(stream->input() == "hello");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/mesh/slotqueue_test.cpp
@@ -0,0 +1,284 @@
+// Sections: [fixture] [slots and queue] [patterns of load]
+#include "mesh/slotqueue.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace Fescuenotch;
+
+namespace {
+
+// ---- [fixture] --------------------------------------------------------------------------------------------------
+
+struct QueueFixture {
+    TimePoint now = TimePoint(seconds(1'000));
+    WorkId nextId = 1;
+
+    WorkTicket ticket(const std::string &kind, unsigned priority, milliseconds goal, milliseconds deadline)
+    {
+        return {nextId++, kind, priority, now + goal, now + deadline};
+    }
+
+    WorkTicket read(milliseconds goal = milliseconds(300), milliseconds deadline = milliseconds(800))
+    {
+        return ticket("read", 2, goal, deadline);
+    }
+
+    WorkTicket filing(milliseconds goal = milliseconds(400), milliseconds deadline = milliseconds(1'000))
+    {
+        return ticket("filing", 1, goal, deadline);
+    }
+
+    static SlotQueueSettings slots(unsigned n)
+    {
+        SlotQueueSettings settings;
+        settings.slots = n;
+        return settings;
+    }
+
+    /// Teaches the service time of a kind.
+    void teach(SlotQueue &queue, const std::string &kind, milliseconds service)
+    {
+        for (int n = 0; n < 40; ++n) {
+            const auto t = ticket(kind, 1, seconds(10), seconds(20));
+            queue.offer(now, t);
+            queue.finished(now, t.id, service);
+        }
+    }
+};
+
+using Kind = AdmissionVerdict::Kind;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SlotQueueTest, QueueFixture)
+
+// ---- [slots and queue] ------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(offer_slotFree_starts)
+{
+    SlotQueue queue(slots(2));
+    BOOST_TEST((queue.offer(now, read()).kind == Kind::Start));
+    BOOST_TEST(queue.running() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(offer_slotsTakenAndGoalReachable_waitsAndStartsWhenOneEnds)
+{
+    SlotQueue queue(slots(1));
+    teach(queue, "read", milliseconds(50));
+    const auto first = read();
+    const auto second = read();
+    queue.offer(now, first);
+    BOOST_TEST((queue.offer(now, second).kind == Kind::Wait));
+    const auto changes = queue.finished(now + milliseconds(50), first.id, milliseconds(50));
+    BOOST_REQUIRE(changes.started.size() == 1U);
+    BOOST_TEST(changes.started.front() == second.id);
+}
+
+BOOST_AUTO_TEST_CASE(offer_waitWouldPassGoal_isRefusedAtOnceWithTimeToComeBack)
+{
+    SlotQueue queue(slots(1));
+    teach(queue, "read", milliseconds(200));
+    queue.offer(now, read());
+    const auto verdict = queue.offer(now, read(milliseconds(300)));
+    BOOST_TEST((verdict.kind == Kind::Refuse));
+    BOOST_TEST((verdict.retryAfter > milliseconds(0)));
+}
+
+BOOST_AUTO_TEST_CASE(offer_deadlineCannotBeMet_isRefusedEvenWithFreeSlots)
+{
+    SlotQueue queue(slots(4));
+    teach(queue, "read", milliseconds(200));
+    BOOST_TEST((queue.offer(now, read(milliseconds(50), milliseconds(100))).kind == Kind::Refuse));
+}
+
+BOOST_AUTO_TEST_CASE(waiting_filingBehindReads_startsFirst)
+{
+    SlotQueue queue(slots(1));
+    teach(queue, "read", milliseconds(20));
+    teach(queue, "filing", milliseconds(20));
+    const auto running = read();
+    queue.offer(now, running);
+    queue.offer(now, read());
+    const auto urgent = filing();
+    queue.offer(now, urgent);
+    const auto changes = queue.finished(now, running.id, milliseconds(20));
+    BOOST_REQUIRE(changes.started.size() == 1U);
+    BOOST_TEST(changes.started.front() == urgent.id);
+}
+
+BOOST_AUTO_TEST_CASE(tick_waitHasPassedItsLimit_refusesAsNotRun)
+{
+    SlotQueue queue(slots(1));
+    teach(queue, "read", milliseconds(50));
+    queue.offer(now, read());
+    const auto waiting = read();
+    queue.offer(now, waiting);
+    BOOST_TEST((queue.nextTick() == waiting.goal - milliseconds(50)));
+    const auto changes = queue.tick(queue.nextTick());
+    BOOST_REQUIRE(changes.refused.size() == 1U);
+    BOOST_TEST(changes.refused.front().first == waiting.id);
+}
+
+BOOST_AUTO_TEST_CASE(withdraw_waitingOne_isNeverStarted)
+{
+    SlotQueue queue(slots(1));
+    teach(queue, "read", milliseconds(50));
+    const auto running = read();
+    const auto waiting = read();
+    queue.offer(now, running);
+    queue.offer(now, waiting);
+    queue.withdraw(now, waiting.id);
+    BOOST_TEST(queue.finished(now, running.id, milliseconds(50)).started.empty());
+}
+
+BOOST_AUTO_TEST_CASE(resize_moreSlots_startsWhatWaits)
+{
+    SlotQueue queue(slots(1));
+    teach(queue, "read", milliseconds(50));
+    queue.offer(now, read());
+    queue.offer(now, read());
+    BOOST_TEST(queue.resize(now, 3).started.size() == 1U);
+}
+
+// ---- [patterns of load] -----------------------------------------------------------------------------------------
+
+/// Pattern: for seconds on end a target says "not run" to half of its requests at random, whatever it has to do.
+BOOST_AUTO_TEST_CASE(turnedAway_halfOfRequestsAtRandom_keepsMostSlots)
+{
+    SlotQueue queue(slots(18));
+    teach(queue, "read", milliseconds(150));
+    std::mt19937 random(7);
+    std::bernoulli_distribution turnsAway(0.55);
+    for (int n = 0; n < 2'000; ++n) {
+        const auto t = read();
+        if (queue.offer(now, t).kind == Kind::Start) {
+            const bool away = turnsAway(random);
+            if (away) {
+                queue.onTurnedAway(now);
+            }
+            queue.finished(now, t.id, away ? Duration(0) : milliseconds(150));
+        }
+    }
+    BOOST_TEST(queue.limit() >= 9U);
+}
+
+/// Pattern: a target takes fewer requests than it states and turns away all above.
+BOOST_AUTO_TEST_CASE(turnedAway_everyRequestAboveSix_limitComesDownToAboutSix)
+{
+    constexpr unsigned Takes = 6;
+    SlotQueue queue(slots(18));
+    for (int round = 0; round < 20; ++round) {
+        std::vector<WorkTicket> taken;
+        while (queue.running() < queue.limit()) {
+            auto t = read();
+            queue.offer(now, t);
+            taken.push_back(t);
+        }
+        for (std::size_t n = taken.size(); n > Takes; --n) {
+            queue.onTurnedAway(now);
+            queue.finished(now, taken[n - 1].id, Duration(0));
+        }
+        for (std::size_t n = 0; n < std::min<std::size_t>(taken.size(), Takes); ++n) {
+            queue.finished(now, taken[n].id, milliseconds(100));
+        }
+    }
+    BOOST_TEST(queue.limit() <= 12U);
+}
+
+/// Pattern: work for one and a half times the slots arrives without end. Those that are served are served in time, and
+/// the others know at once.
+BOOST_AUTO_TEST_CASE(overload_oneAndAHalfTimesTheSlots_servesInTimeAndRefusesWithoutHolding)
+{
+    constexpr unsigned Slots = 10;
+    constexpr milliseconds Service{100};
+    constexpr milliseconds Goal{300};
+    SlotQueue queue(slots(Slots));
+    teach(queue, "read", Service);
+    std::multimap<TimePoint, WorkId> ends;
+    std::map<WorkId, TimePoint> arrivedAt;
+    unsigned inTime = 0;
+    unsigned late = 0;
+    unsigned refusedLate = 0;
+    const auto start = [&](WorkId id, TimePoint at) { ends.emplace(at + Service, id); };
+    const auto apply = [&](const QueueChanges &changes, TimePoint at) {
+        for (const auto id : changes.started) {
+            start(id, at);
+        }
+        for (const auto &[id, verdict] : changes.refused) {
+            refusedLate += at - arrivedAt[id] > Goal / 2 ? 1 : 0;
+        }
+    };
+    const auto until = now + seconds(10);
+    const auto gap = std::chrono::duration_cast<Duration>(Service / (Slots * 1.5));
+    for (auto at = now; at < until; at += gap) {
+        while (!ends.empty() && ends.begin()->first <= at) {
+            const auto [endAt, id] = *ends.begin();
+            ends.erase(ends.begin());
+            (endAt - arrivedAt[id] <= Goal ? inTime : late) += 1;
+            apply(queue.finished(endAt, id, Service), endAt);
+        }
+        apply(queue.tick(at), at);
+        now = at;
+        const auto t = read(Goal, milliseconds(800));
+        arrivedAt[t.id] = at;
+        if (queue.offer(at, t).kind == Kind::Start) {
+            start(t.id, at);
+        }
+    }
+    const auto capacity = static_cast<unsigned>(Slots * seconds(10) / Service);
+    BOOST_TEST(inTime >= capacity * 95 / 100);
+    BOOST_TEST(late <= capacity * 2 / 100);
+    BOOST_TEST(refusedLate == 0U);
+}
+
+/// Pattern: callers that come back after a refusal have little of their goal left. They must not push out those that can
+/// still be served in time, nor wait for long and be refused again.
+BOOST_AUTO_TEST_CASE(lateRequests_targetFull_fewWaitAndOnlyForAQuarterOfTheirTime)
+{
+    SlotQueue queue(slots(2));
+    teach(queue, "read", milliseconds(100));
+    queue.offer(now, read(seconds(1), seconds(2)));
+    queue.offer(now, read(seconds(1), seconds(2)));
+    unsigned waiting = 0;
+    for (int n = 0; n < 20; ++n) {
+        waiting += queue.offer(now, read(milliseconds(50), milliseconds(900))).kind == Kind::Wait ? 1 : 0;
+    }
+    BOOST_TEST(waiting == SlotQueueSettings{}.mostLateWaiting);
+    BOOST_TEST((queue.nextTick() <= now + milliseconds(200)));
+    BOOST_TEST(queue.tick(queue.nextTick()).refused.size() == waiting);
+}
+
+/// Pattern: a stream of urgent requests that alone fills the target. A less urgent kind still gets a share.
+BOOST_AUTO_TEST_CASE(starvedKind_urgentOnesFillTheTarget_getsItsTurn)
+{
+    SlotQueue queue(slots(1));
+    teach(queue, "read", milliseconds(10));
+    teach(queue, "filing", milliseconds(10));
+    std::optional<WorkId> running;
+    std::map<WorkId, std::string> kindOf;
+    std::map<std::string, unsigned> started;
+    const auto apply = [&](const QueueChanges &changes) {
+        for (const auto id : changes.started) {
+            running = id;
+            ++started[kindOf[id]];
+        }
+    };
+    for (int n = 0; n < 2'000; ++n) {
+        for (const auto &t : {filing(milliseconds(60)), filing(milliseconds(60)), read(milliseconds(60))}) {
+            kindOf[t.id] = t.kind;
+            if (queue.offer(now, t).kind == Kind::Start) {
+                running = t.id;
+                ++started[t.kind];
+            }
+        }
+        now += milliseconds(10);
+        if (running) {
+            apply(queue.finished(now, *running, milliseconds(10)));
+        }
+    }
+    BOOST_TEST(started["read"] * 8 >= started["filing"]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/mesh/targets_test.cpp
@@ -0,0 +1,127 @@
+#include "mesh/targets.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Fescuenotch;
+
+namespace {
+
+struct TableFixture {
+    TimePoint now = TimePoint(seconds(1'000));
+    TimePoint notHeld = TimePoint::min();
+    TargetTable table;
+
+    static TargetRecord record(const std::string &id, const std::string &host = "127.1.0.1")
+    {
+        TargetRecord r;
+        r.id = id;
+        r.service = "desk";
+        r.address = {host, 9'000};
+        r.dataCentre = "one";
+        r.slots = 4;
+        return r;
+    }
+
+    static TargetNews listed(const std::string &id, std::uint64_t revision)
+    {
+        return {id, revision, record(id)};
+    }
+
+    static TargetNews gone(const std::string &id, std::uint64_t revision)
+    {
+        return {id, revision, std::nullopt};
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TargetTableTest, TableFixture)
+
+BOOST_AUTO_TEST_CASE(apply_olderNewsAfterNewer_isIgnored)
+{
+    table.apply(now, listed("a", 5), notHeld);
+    table.apply(now, gone("a", 7), notHeld);
+    BOOST_TEST(!table.apply(now, listed("a", 6), notHeld).has_value());
+    BOOST_TEST(table.ofService("desk").empty());
+}
+
+BOOST_AUTO_TEST_CASE(apply_draining_isNoLongerChosenButStillListed)
+{
+    table.apply(now, listed("a", 5), notHeld);
+    auto news = listed("a", 6);
+    news.record->state = TargetState::Draining;
+    const auto change = table.apply(now, news, notHeld);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST((change->kind == TargetChange::Kind::Draining));
+    BOOST_TEST(table.ofService("desk").empty());
+    BOOST_TEST(table.all().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(apply_unreadableEntry_namesNoTarget)
+{
+    table.apply(now, listed("a", 5), notHeld);
+    table.apply(now, {"a", 6, std::nullopt}, notHeld);
+    BOOST_TEST(table.ofService("desk").empty());
+}
+
+/// The store was away; its return shows entries missing whose targets live.
+BOOST_AUTO_TEST_CASE(removal_soonAfterStoreReturned_isHeldBackUntilTheGraceHasPassed)
+{
+    table.apply(now, listed("a", 5), notHeld);
+    const auto heldUntil = now + LapseGrace;
+    const auto change = table.apply(now, gone("a", 6), heldUntil);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST((change->kind == TargetChange::Kind::HeldBack));
+    BOOST_TEST(table.ofService("desk").size() == 1U);
+    BOOST_TEST(table.tick(heldUntil - milliseconds(1)).empty());
+    BOOST_TEST(table.tick(heldUntil).size() == 1U);
+    BOOST_TEST(table.ofService("desk").empty());
+}
+
+BOOST_AUTO_TEST_CASE(removalHeldBack_entryComesBack_stays)
+{
+    table.apply(now, listed("a", 5), notHeld);
+    table.apply(now, gone("a", 6), now + LapseGrace);
+    const auto change = table.apply(now + seconds(1), listed("a", 8), now + LapseGrace);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST((change->kind == TargetChange::Kind::Returned));
+    BOOST_TEST(table.tick(now + seconds(10)).empty());
+    BOOST_TEST(table.ofService("desk").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(applyListing_entryMissing_isRemovedUnlessItIsNewerThanTheListing)
+{
+    table.apply(now, listed("old", 5), notHeld);
+    table.apply(now, listed("new", 20), notHeld);
+    const auto changes = table.applyListing(now, {listed("kept", 6)}, 10, notHeld);
+    BOOST_TEST(changes.size() == 2U);
+    BOOST_TEST((table.find("old") == nullptr));
+    BOOST_TEST((table.find("new") != nullptr));
+    BOOST_TEST((table.find("kept") != nullptr));
+}
+
+/// An address is used again: two entries name it until the older one is gone.
+BOOST_AUTO_TEST_CASE(atAddress_twoEntries_givesTheOneStartedLast)
+{
+    auto first = listed("first", 5);
+    first.record->startedAtMs = 100;
+    auto second = listed("second", 6);
+    second.record->startedAtMs = 200;
+    table.apply(now, second, notHeld);
+    table.apply(now, first, notHeld);
+    BOOST_REQUIRE((table.atAddress({"127.1.0.1", 9'000}) != nullptr));
+    BOOST_TEST(table.atAddress({"127.1.0.1", 9'000})->id == "second");
+}
+
+BOOST_AUTO_TEST_CASE(newsAfter_peerLacksSome_givesJustThoseAndNoHeldBackRemoval)
+{
+    table.apply(now, listed("a", 5), notHeld);
+    table.apply(now, listed("b", 7), notHeld);
+    table.apply(now, listed("c", 6), notHeld);
+    table.apply(now, gone("c", 9), now + LapseGrace);
+    const auto news = table.newsAfter(5);
+    BOOST_REQUIRE(news.size() == 1U);
+    BOOST_TEST(news.front().id == "b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/documents_test.cpp
@@ -0,0 +1,202 @@
+// Sections: [times and bytes] [store] [configuration] [targets] [settings]
+#include "platform/documents.h"
+#include "platform/fields.h"
+#include "platform/settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Fescuenotch;
+namespace P = Fescuenotch::Platform;
+
+namespace {
+
+constexpr const char *Configuration = R"({"version":"0000000c","routes":[
+ {"name":"a","host":"Desk.example","prefix":"/a/","route_type":"non_idempotent","timeout":"1200ms","latency_goal":"0.6s","priority":1,"service":"desk","max_attempts":2,"later":1},
+ {"name":"b","host":"desk.example","prefix":"/b/","route_type":"idempotent","timeout":"1s","traffic_split":[{"service":"desk","weight":90},{"service":"feed","weight":10}],"max_attempts":2}],
+ "services":[{"name":"desk","health_path":"/health","max_connections":130,"protocol":"h1","tls":false},{"name":"feed"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}})";
+
+constexpr const char *Entry = R"({"service":"desk","address":"10.1.0.9:8080","zone":"one","version":"v1","max_concurrency":18,"state":"ready","cold_remaining":"1.5s","sequence":4,"born":1700000000000})";
+
+constexpr const char *Settings = R"({"node_name":"n-1","ip":"10.1.0.35","zone":"one","region":"r","zones":{"one":"r"},"service":"desk",
+ "listen_addrs":{"inbound":"10.1.0.35:8145","outbound":"10.1.0.35:8141","readiness_addr":"10.1.0.35:8140"},"app_addr":"10.1.0.35:8147","seeds":[],
+ "heartbeat":"870ms","bounds":{"drain":"2500ms","grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":"192"},
+ "limits":{"cpu_share":0.1,"link_mbps":6.0,"memory_mb":260},"platform":{"address":"10.200.1.7:8142","reads_per_s":2000},"new_field":{}})";
+
+template<typename F>
+auto valueOf(F &&f)
+{
+    auto either = valueOrError(std::forward<F>(f));
+    if (const auto *error = std::get_if<Error>(&either)) {
+        throw std::runtime_error(describe(*error));
+    }
+    return std::get<0>(std::move(either));
+}
+
+std::string without(std::string text, const std::string &part, const std::string &instead = "")
+{
+    const auto at = text.find(part);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, part.size(), instead);
+}
+
+bool entryIsRefused(const std::string &text)
+{
+    return valueOrError([&] { return P::decodeTarget("i-1", text); }).index() == 1;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformDocumentsTest)
+
+// ---- [times and bytes] ------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(parseTime_unitsOfThePlatform_areRead)
+{
+    BOOST_TEST((valueOf([] { return P::parseTime("1500ms"); }) == milliseconds(1'500)));
+    BOOST_TEST((valueOf([] { return P::parseTime("2.5s"); }) == milliseconds(2'500)));
+    for (const auto *bad : {"", "5", "5m", "-1s", "s", "1e99s"}) {
+        BOOST_TEST((valueOrError([&] { return P::parseTime(bad); }).index() == 1U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(parseVersion_notEightHexDigits_isRefused)
+{
+    BOOST_TEST(valueOf([] { return P::parseVersion("0000001f"); }) == 31U);
+    for (const auto *bad : {"", "1f", "0000001g", "000000001f"}) {
+        BOOST_TEST((valueOrError([&] { return P::parseVersion(bad); }).index() == 1U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(decodeBase64_allPaddings_areRead)
+{
+    BOOST_TEST(valueOf([] { return P::decodeBase64("bm9kZS0x"); }) == "node-1");
+    BOOST_TEST(valueOf([] { return P::decodeBase64("YQ=="); }) == "a");
+    BOOST_TEST(valueOf([] { return P::decodeBase64(""); }).empty());
+    BOOST_TEST((valueOrError([] { return P::decodeBase64("YQ"); }).index() == 1U));
+    BOOST_TEST((valueOrError([] { return P::decodeBase64("!!!!"); }).index() == 1U));
+}
+
+// ---- [store] ----------------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(storeTarget_eachQuestion_isThePlatformsCall)
+{
+    BOOST_TEST(P::storeTarget({StoreQuestion::Kind::Configuration, "", 0, milliseconds(0)}) == "/kv-key?key=op/config");
+    BOOST_TEST(P::storeTarget({StoreQuestion::Kind::Targets, "", 0, milliseconds(0)}) == "/kv-range?prefix=servers/");
+    BOOST_TEST(P::storeTarget({StoreQuestion::Kind::Targets, "servers/i-1", 0, milliseconds(0)}) == "/kv-range?prefix=servers/&after=servers/i-1");
+    BOOST_TEST(P::storeTarget({StoreQuestion::Kind::Watch, "", 411, seconds(2)}) == "/kv-watch?prefix=&after=411&wait_ms=2000");
+}
+
+BOOST_AUTO_TEST_CASE(decodeReply_watch_tellsItemsAndRemovals)
+{
+    const StoreQuestion watch{StoreQuestion::Kind::Watch, "", 1, seconds(1)};
+    const auto reply = valueOf([&] {
+        return P::decodeReply(watch,
+                              R"({"events":[{"key":"servers/i-1","value":"YQ==","revision":412,"lease":7},{"key":"servers/i-2","revision":413,"deleted":true},
+                                  {"key":"op/config","value":"YQ==","revision":414},{"key":"other","value":"YQ==","revision":415}],"as_of":415})");
+    });
+    BOOST_REQUIRE(reply.items.size() == 4U);
+    BOOST_TEST((reply.items[0].kind == StoreItem::Kind::Target));
+    BOOST_TEST(reply.items[0].id == "i-1");
+    BOOST_TEST(reply.items[0].value.value() == "a");
+    BOOST_TEST(!reply.items[1].value.has_value());
+    BOOST_TEST((reply.items[2].kind == StoreItem::Kind::Configuration));
+    BOOST_TEST((reply.items[3].kind == StoreItem::Kind::Other));
+    BOOST_TEST(reply.revision == 415U);
+}
+
+BOOST_AUTO_TEST_CASE(decodeReply_itemWithUnreadableBytes_leavesTheOthersReadable)
+{
+    const StoreQuestion targets{StoreQuestion::Kind::Targets, "", 0, milliseconds(0)};
+    const auto reply = valueOf([&] {
+        return P::decodeReply(
+            targets, R"({"items":[{"key":"servers/bad","value":"###","revision":2},{"key":"servers/good","value":"YQ==","revision":3}],"has_more":true,"as_of":9})");
+    });
+    BOOST_TEST(reply.items.size() == 2U);
+    BOOST_TEST(reply.more);
+    BOOST_TEST(reply.lastKey == "servers/good");
+}
+
+BOOST_AUTO_TEST_CASE(decodeReply_noJson_isRefused)
+{
+    BOOST_TEST((valueOrError([] { return P::decodeReply({}, "<html>"); }).index() == 1U));
+}
+
+// ---- [configuration] --------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(decodeConfiguration_whole_isInTheProductsTypes)
+{
+    const auto c = valueOf([] { return P::decodeConfiguration(Configuration); });
+    BOOST_TEST(c.version == 12U);
+    BOOST_REQUIRE(c.routes.size() == 2U);
+    BOOST_TEST(c.routes[0].host == "desk.example");
+    BOOST_TEST((c.routes[0].kind == RouteKind::NotIdempotent));
+    BOOST_TEST((c.routes[0].latencyGoal == milliseconds(600)));
+    BOOST_TEST(c.routes[0].priority == 1U);
+    BOOST_TEST((c.routes[1].latencyGoal == milliseconds(1'000)));
+    BOOST_TEST(c.routes[1].parts.size() == 2U);
+    BOOST_TEST(c.services[0].maxConnections == 130U);
+    BOOST_TEST(c.bounds.maxHeadBytes == 16'384U);
+    BOOST_TEST((c.bounds.idleLimit == milliseconds(15'000)));
+}
+
+BOOST_AUTO_TEST_CASE(decodeConfiguration_fieldMissingOrWrong_isRefusedWhole)
+{
+    const std::string whole = Configuration;
+    for (const auto *part : {"\"version\":\"0000000c\",", "\"host\":\"Desk.example\",", "\"timeout\":\"1200ms\",", "\"name\":\"a\","}) {
+        BOOST_TEST((valueOrError([&] { return P::decodeConfiguration(without(whole, part)); }).index() == 1U));
+    }
+    BOOST_TEST((valueOrError([&] { return P::decodeConfiguration(without(whole, "non_idempotent", "sometimes")); }).index() == 1U));
+    BOOST_TEST((valueOrError([&] { return P::decodeConfiguration(whole.substr(0, whole.size() / 2)); }).index() == 1U));
+}
+
+// ---- [targets] --------------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(decodeTarget_whole_isInTheProductsTypes)
+{
+    const auto t = valueOf([] { return P::decodeTarget("i-1", Entry); });
+    BOOST_TEST(t.id == "i-1");
+    BOOST_TEST(toString(t.address) == "10.1.0.9:8080");
+    BOOST_TEST(t.slots == 18U);
+    BOOST_TEST((t.coldFor == milliseconds(1'500)));
+    BOOST_TEST(t.startedAtMs == 1'700'000'000'000);
+}
+
+BOOST_AUTO_TEST_CASE(decodeTarget_fromAnotherWriter_namesNoTarget)
+{
+    const std::string whole = Entry;
+    for (const auto *part : {"\"service\":\"desk\",", "\"address\":\"10.1.0.9:8080\",", "\"zone\":\"one\",", "\"max_concurrency\":18,", "\"state\":\"ready\",", "\"sequence\":4,"}) {
+        BOOST_TEST(entryIsRefused(without(whole, part)));
+    }
+    BOOST_TEST(entryIsRefused(without(whole, "\"ready\"", "\"resting\"")));
+    BOOST_TEST(entryIsRefused(without(whole, "18", "\"18\"")));
+    BOOST_TEST(entryIsRefused(without(whole, "18", "0")));
+    BOOST_TEST(entryIsRefused(without(whole, "1700000000000", "1700000000000.5")));
+    BOOST_TEST(entryIsRefused("\xff\xfe"));
+    BOOST_TEST(entryIsRefused(""));
+}
+
+// ---- [settings] -------------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(parseSettings_fieldsThatAreNotKnown_areIgnored)
+{
+    const auto s = valueOf([] { return P::parseSettings(Settings); });
+    BOOST_TEST(toString(s.peerListen) == "10.1.0.35:8145");
+    BOOST_TEST(toString(s.targetAddress) == "10.1.0.35:8147");
+    BOOST_TEST((s.drainLimit == milliseconds(2'500)));
+    BOOST_TEST((s.stopLimit == milliseconds(6'000)));
+    BOOST_TEST((s.heartbeat == milliseconds(870)));
+    BOOST_TEST(s.repeatShare == 0.2);
+    BOOST_TEST(s.repeatSlack == 192);
+    BOOST_TEST(s.linkMbps == 6.0);
+    BOOST_TEST(!s.seedListen.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(parseSettings_fieldMissing_errorNamesIt)
+{
+    const auto either = valueOrError([] { return P::parseSettings(without(Settings, "\"app_addr\":\"10.1.0.35:8147\",")); });
+    BOOST_REQUIRE(either.index() == 1U);
+    BOOST_TEST(std::get<1>(either).what.find("app_addr") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/plugins/callerfixture.h
+++ b/tests/plugins/callerfixture.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "plugins/callerhttp.h"
-#include "rawsocket.h"
+#include "tests/support/rawsocket.h"
 
 #include <deque>
 #include <map>
--- a/tests/plugins/targethttp_test.cpp
+++ b/tests/plugins/targethttp_test.cpp
@@ -1,6 +1,6 @@
 #include "kernel/plugin.h"
 #include "plugins/interfaces.h"
-#include "rawsocket.h"
+#include "tests/support/rawsocket.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/plugins/rawsocket.cpp
+++ b/tests/support/rawsocket.cpp
@@ -1,4 +1,4 @@
-#include "rawsocket.h"
+#include "tests/support/rawsocket.h"
 
 #include "plugins/listensocket.h"
 
--- /dev/null
+++ b/tests/support/storestandin.h
@@ -0,0 +1,65 @@
+// A stand-in for the platform's store, in the platform's manner: items with revisions, pages, watches, and its faults.
+//
+// How to use: `put` and `remove` items as the operator and the targets do; point a node at `endpoint()`. Faults are set
+// with `fault`. All functions may be called from any thread.
+#pragma once
+
+#include "kernel/clock.h"
+#include "kernel/endpoint.h"
+#include "standins/httpserver.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace Fescuenotch::Tests {
+
+enum class StoreFault { None, Busy, Limited, Lost };
+
+class StoreStandin
+{
+public:
+    explicit StoreStandin(const Endpoint &endpoint);
+    ~StoreStandin(); ///< ends watches that wait
+    std::uint64_t put(const std::string &key, const std::string &value); ///< gives the revision
+    std::uint64_t remove(const std::string &key);
+    void fault(StoreFault kind);
+    void forgetHistory(); ///< watches from before are answered 410
+    void setPageItems(std::size_t items);
+    unsigned calls(const std::string &path) const;
+    const Endpoint &endpoint() const
+    {
+        return m_endpoint;
+    }
+
+private:
+    struct Item {
+        std::optional<std::string> value; ///< none: removed
+        std::uint64_t revision = 0;
+    };
+
+    Standins::ServerReply answer(const Standins::ServerCall &call);
+    Standins::ServerReply answerKey(const Standins::ServerCall &call);
+    Standins::ServerReply answerRange(const Standins::ServerCall &call);
+    Standins::ServerReply answerWatch(const Standins::ServerCall &call);
+
+    Endpoint m_endpoint;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, Item> m_items;
+    std::uint64_t m_revision = 10;
+    std::uint64_t m_oldestHistory = 0; ///< revisions below are forgotten
+    std::size_t m_pageItems = 500;
+    StoreFault m_fault = StoreFault::None;
+    std::map<std::string, unsigned> m_calls; ///< by path
+    std::unique_ptr<Standins::HttpServer> m_server;
+};
+
+/// Entry of a target in the store.
+std::string entryText(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state = "ready");
+
+} // namespace Fescuenotch::Tests
