--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -55,9 +55,7 @@
 
 EntryRequest::~EntryRequest()
 {
-    if (m_stream && m_target) {
-        m_core.picker.onEnded(m_core.now(), m_target->id, SendResult::GivenUp);
-    }
+    cancelSending();
 }
 
 void EntryRequest::start()
@@ -348,10 +346,7 @@
     end.offered = m_sent;
     end.outcome = m_sent ? Outcome::Unknown : Outcome::NotRun;
     end.answerStarted = m_answerStarted;
-    if (m_stream) {
-        m_core.picker.onEnded(m_core.now(), m_target->id, SendResult::GivenUp);
-        m_stream.reset();
-    }
+    cancelSending();
     m_repeats.mayHaveRun = m_repeats.mayHaveRun || m_sent;
     endUnanswered(end, milliseconds(0));
 }
@@ -367,9 +362,19 @@
         .with("route", m_route == nullptr ? std::string() : m_route->name)
         .with("held_ms", inMilliseconds(m_core.now() - m_arrived))
         .with("target", m_target ? m_target->id : std::string());
+    cancelSending();
     finished(0);
 }
 
+/// Gives up the sending that runs; the exit node has its target stop.
+void EntryRequest::cancelSending()
+{
+    if (m_stream) {
+        m_core.picker.onEnded(m_core.now(), m_target->id, SendResult::GivenUp);
+        m_stream.reset();
+    }
+}
+
 // ---- [end] ------------------------------------------------------------------------------------------------------
 
 void EntryRequest::logStep(const char *step, const SendEnd &end) const
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -56,6 +56,7 @@
     void endUnanswered(const SendEnd &end, milliseconds retryAfter);
     void refuse(unsigned status, Outcome outcome, Reason reason, milliseconds retryAfter);
     void onDeadline();
+    void cancelSending();
     void logStep(const char *step, const SendEnd &end) const;
     void finished(unsigned status);
 
--- a/src/forward/targetgate.cpp
+++ b/src/forward/targetgate.cpp
@@ -236,9 +236,7 @@
         if (sendAgain) {
             m_sentAgain = true;
             auto dropped = std::move(m_connection);
-            sendOn(std::make_unique<TargetConnection>(
-                m_gate.m_loop, m_gate.m_settings.targetAddress, m_gate.m_adapter.headers(), [this](TargetConnection &c) { m_gate.dropIdle(c); }));
-            m_gate.m_connections.add();
+            sendOn(m_gate.newConnection());
             m_gate.m_loop.later([dropped = std::shared_ptr<TargetConnection>(std::move(dropped))] {});
             return;
         }
@@ -527,6 +525,11 @@
         m_idle.pop_front();
         return connection;
     }
+    return newConnection();
+}
+
+std::unique_ptr<TargetConnection> TargetGate::newConnection()
+{
     m_connections.add();
     return std::make_unique<TargetConnection>(m_loop, m_settings.targetAddress, m_adapter.headers(), [this](TargetConnection &c) { dropIdle(c); });
 }
--- a/src/forward/targetgate.h
+++ b/src/forward/targetgate.h
@@ -52,6 +52,7 @@
     void noteResult(bool failed);
     void scheduleTick();
     std::unique_ptr<TargetConnection> takeConnection(const ForwardRequest &request);
+    std::unique_ptr<TargetConnection> newConnection();
     void keepConnection(std::unique_ptr<TargetConnection> connection);
     void dropIdle(TargetConnection &connection);
     void noteStale(Duration idle);
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -313,6 +313,43 @@
     BOOST_TEST(lost == 0U);
 }
 
+/// The connection that took over from a dropped one ends while it rests: its request is long gone.
+BOOST_AUTO_TEST_CASE(targetDropsRestingConnection_repeatedOnNewOneWhichThenEndsToo_nodeLives)
+{
+    addRawNode("desk", [](RawSocket &socket, unsigned number) {
+        socket.receiveUntil("\r\n\r\n", seconds(2));
+        socket.send(soundAnswer("id-1", "ok"));
+        if (number == 0) {
+            socket.receiveUntil("\r\n\r\n", seconds(2));
+            socket.reset();
+            return;
+        }
+        std::this_thread::sleep_for(milliseconds(50));
+    });
+    publish(1);
+    waitReady();
+    BOOST_TEST(has(get(0, "/read/x"), "200 OK"));
+    std::this_thread::sleep_for(milliseconds(60));
+    BOOST_TEST(has(get(0, "/read/x"), "200 OK"));
+    BOOST_TEST(metric(0, "fescuenotch_target_stale_connections_total") == "1");
+    std::this_thread::sleep_for(milliseconds(100));
+    BOOST_TEST(has(get(0, "/read/x"), "200 OK"));
+}
+
+/// A request's body turns out malformed while its first part is already on its way to a target.
+BOOST_AUTO_TEST_CASE(bodyTurnsOutMalformed_requestRunsAlready_callerGetsOneRefusalAndTheTargetIsLeft)
+{
+    addNode("desk");
+    publish(1);
+    waitReady();
+    auto socket = RawSocket::connectTo(callers(0));
+    const std::string piece(100'000, 'x');
+    socket.send(request("POST", "/file/x", "id-1", "Transfer-Encoding: chunked\r\n") + "186a0\r\n" + piece + "\r\nnot a size\r\n");
+    const auto answer = socket.receiveAll(seconds(2));
+    BOOST_TEST(has(answer, "400"));
+    BOOST_TEST(answer.find("HTTP/1.1", 8) == std::string::npos);
+}
+
 // ---- [changes] --------------------------------------------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(configurationChanges_newOneIsInForceAndAnOlderNeverReturns)
