--- a/src/forward/linkcodec.cpp
+++ b/src/forward/linkcodec.cpp
@@ -56,8 +56,15 @@
 flatbuffers::Offset<MeshWire::Report> makeReport(Builder &fbb, const TargetReport &report)
 {
     const auto failed = static_cast<std::uint16_t>(std::clamp(report.failedShare, 0.0, 1.0) * Permille);
-    return MeshWire::CreateReport(
-        fbb, report.running, report.limit, report.waiting, static_cast<std::uint32_t>(report.meanService.count()), failed, report.leaving);
+    return MeshWire::CreateReport(fbb,
+                                  report.running,
+                                  report.limit,
+                                  report.waiting,
+                                  static_cast<std::uint32_t>(report.meanService.count()),
+                                  failed,
+                                  static_cast<std::uint32_t>(report.carryWait.count()),
+                                  static_cast<std::uint32_t>(report.carryPerKib.count()),
+                                  report.leaving);
 }
 
 TargetReport readReport(const MeshWire::Report &report)
@@ -68,6 +75,8 @@
     out.waiting = report.waiting();
     out.meanService = microseconds(report.mean_service_us());
     out.failedShare = report.failed_permille() / Permille;
+    out.carryWait = milliseconds(report.carry_wait_ms());
+    out.carryPerKib = microseconds(report.carry_us_per_kib());
     out.leaving = report.leaving();
     return out;
 }
@@ -301,6 +310,7 @@
     }
     request.body = std::string(bytesOf(open.first_bytes()));
     request.bodyWhole = open.whole();
+    request.fromPeer = true;
     return request;
 }
 
--- a/src/forward/meshentry.cpp
+++ b/src/forward/meshentry.cpp
@@ -15,6 +15,7 @@
 {
     PickerSettings settings;
     settings.dataCentre = parts.settings->dataCentre;
+    settings.host = parts.settings->host;
     settings.seed = parts.seed;
     return settings;
 }
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -367,6 +367,39 @@
         return m_greeted && now - m_lastWrite >= PulsePeriod;
     }
 
+    /// Bytes of the large answer that has the least left and may go on; 0 without any.
+    std::size_t leastLargeLeft() const
+    {
+        std::size_t least = 0;
+        for (const auto &[id, exchange] : m_exchanges) {
+            const bool ready = exchange->isLarge && !exchange->waiting.empty() && exchange->credit > 0;
+            if (ready && hasRoom() && (least == 0 || exchange->waiting.size() < least)) {
+                least = exchange->waiting.size();
+            }
+        }
+        return least;
+    }
+
+    void sendLargePiece(std::size_t left)
+    {
+        for (auto it = m_exchanges.begin(); it != m_exchanges.end(); ++it) {
+            if (it->second->isLarge && it->second->waiting.size() == left && it->second->credit > 0) {
+                sendPiece(it->first, *it->second);
+                endIfSent(it);
+                return;
+            }
+        }
+    }
+
+    std::size_t largeBacklog() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &[id, exchange] : m_exchanges) {
+            bytes += exchange->isLarge ? exchange->waiting.size() : 0;
+        }
+        return bytes;
+    }
+
     void onInput() override
     {
         m_reader.append(m_tcp->input());
@@ -409,6 +442,7 @@
         void onAnswerBody(std::string_view bytes) override
         {
             waiting.append(bytes);
+            isLarge = isLarge || waiting.size() > SmallAnswerBytes;
             m_link.pump();
         }
 
@@ -428,6 +462,7 @@
 
         std::unique_ptr<ForwardStream> stream;
         std::string waiting; ///< bytes of the answer that have not left
+        bool isLarge = false; ///< leaves at the pace of the host's link
         std::size_t credit = StreamWindow; ///< bytes of the answer that the entry node takes
         std::size_t bodyOwed = 0; ///< bytes of the request's body that were taken and not granted anew
         std::optional<ForwardEnd> ended;
@@ -532,46 +567,58 @@
         }
     }
 
-    /// The exchange whose next bytes leave: the one with the least left to send.
-    std::map<std::uint64_t, std::unique_ptr<Exchange>>::iterator nextToSend()
+    using Exchanges = std::map<std::uint64_t, std::unique_ptr<Exchange>>;
+
+    bool hasRoom() const
     {
-        auto best = m_exchanges.end();
-        for (auto it = m_exchanges.begin(); it != m_exchanges.end(); ++it) {
-            const auto &exchange = *it->second;
-            const bool hasBytes = !exchange.waiting.empty() && exchange.credit > 0;
-            const bool hasEnd = exchange.waiting.empty() && exchange.ended;
-            if ((hasBytes || hasEnd) && (best == m_exchanges.end() || exchange.waiting.size() < best->second->waiting.size())) {
-                best = it;
-            }
-        }
-        return best;
+        return m_tcp->isOpen() && m_tcp->pendingBytes() < LinkBufferBytes;
     }
 
+    /// Sends what is small at once, and asks for a share of the host's link for the rest.
     void pump()
     {
-        while (m_tcp->isOpen() && m_tcp->pendingBytes() < LinkBufferBytes) {
-            const auto it = nextToSend();
-            if (it == m_exchanges.end()) {
-                return;
-            }
+        bool largeWaits = false;
+        for (auto it = m_exchanges.begin(); it != m_exchanges.end() && m_tcp->isOpen();) {
             auto &exchange = *it->second;
-            if (exchange.waiting.empty()) {
-                write(encodeEnded(it->first, *exchange.ended));
-                // The caller may be a function of this exchange.
-                m_links.m_loop.later([ended = std::shared_ptr<Exchange>(std::move(it->second))] {});
-                m_exchanges.erase(it);
+            if (exchange.isLarge && !exchange.waiting.empty()) {
+                largeWaits = true;
+                ++it;
                 continue;
             }
-            const auto n = std::min({exchange.waiting.size(), exchange.credit, PieceBytes});
-            write(encodeAnswerBody(it->first, std::string_view(exchange.waiting).substr(0, n)));
-            exchange.waiting.erase(0, n);
-            exchange.credit -= n;
-            if (!exchange.ended) {
-                exchange.stream->grant(n);
+            while (!exchange.waiting.empty() && exchange.credit > 0 && hasRoom()) {
+                sendPiece(it->first, exchange);
             }
+            it = endIfSent(it);
+        }
+        if (largeWaits) {
+            m_links.pumpLargeAnswers();
         }
     }
 
+    void sendPiece(std::uint64_t id, Exchange &exchange)
+    {
+        const auto n = std::min({exchange.waiting.size(), exchange.credit, PieceBytes});
+        write(encodeAnswerBody(id, std::string_view(exchange.waiting).substr(0, n)));
+        m_links.m_pacer.onLeft(m_links.m_loop.turnTime(), n);
+        exchange.waiting.erase(0, n);
+        exchange.credit -= n;
+        if (!exchange.ended) {
+            exchange.stream->grant(n);
+        }
+    }
+
+    /// Tells the end of an exchange whose bytes have all left; gives the next exchange.
+    Exchanges::iterator endIfSent(Exchanges::iterator it)
+    {
+        if (!it->second->waiting.empty() || !it->second->ended) {
+            return std::next(it);
+        }
+        write(encodeEnded(it->first, *it->second->ended));
+        // The caller may be a function of this exchange.
+        m_links.m_loop.later([ended = std::shared_ptr<Exchange>(std::move(it->second))] {});
+        return m_exchanges.erase(it);
+    }
+
     PeerLinks &m_links;
     std::unique_ptr<TcpStream> m_tcp;
     LinkReader m_reader;
@@ -579,16 +626,17 @@
     ClockOffset m_offset;
     bool m_greeted = false;
     TimePoint m_lastWrite;
-    std::map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges; ///< by stream
+    Exchanges m_exchanges; ///< by stream
 };
 
 // ---- [all links] ------------------------------------------------------------------------------------------------
 
-PeerLinks::PeerLinks(EventLoop &loop, const LinkIdentity &self, Forwarder &gate, LinkEvents &events, MetricsRegistry &metrics)
+PeerLinks::PeerLinks(EventLoop &loop, const LinkIdentity &self, double mbps, Forwarder &gate, LinkEvents &events, MetricsRegistry &metrics)
     : m_loop(loop)
     , m_self(self)
     , m_gate(gate)
     , m_events(events)
+    , m_pacer(mbps)
     , m_opened(metrics.counter("fescuenotch_mesh_links_opened_total", "Links opened to other nodes."))
     , m_lost(metrics.counter("fescuenotch_mesh_links_lost_total", "Links to other nodes that broke or went silent."))
     , m_lostRequests(metrics.counter("fescuenotch_mesh_links_lost_requests_total", "Requests that were on a link when it was lost."))
@@ -689,6 +737,45 @@
     }
 }
 
+std::size_t PeerLinks::uplinkBacklog() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, link] : m_inbound) {
+        bytes += link->largeBacklog();
+    }
+    return bytes;
+}
+
+/// Sends pieces of large answers of all links, the nearest to its end first, as far as the host's link goes.
+void PeerLinks::pumpLargeAnswers()
+{
+    if (m_pumping) {
+        return;
+    }
+    m_pumping = true;
+    const auto now = m_loop.turnTime();
+    for (;;) {
+        InboundLink *next = nullptr;
+        std::size_t least = 0;
+        for (const auto &[key, link] : m_inbound) {
+            const auto left = link->leastLargeLeft();
+            if (left > 0 && (next == nullptr || left < least)) {
+                next = key;
+                least = left;
+            }
+        }
+        if (next == nullptr) {
+            break;
+        }
+        if (!m_pacer.mayLeave(now)) {
+            m_pacerTimer.start(m_loop.timers(), m_pacer.nextAt(now) - now, [this](TimePoint) { pumpLargeAnswers(); });
+            break;
+        }
+        next->sendLargePiece(least);
+    }
+    m_pumping = false;
+}
+
 void PeerLinks::tick(TimePoint now)
 {
     std::vector<OutboundLink *> silent;
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -13,6 +13,7 @@
 #include "forward/linkcodec.h"
 #include "kernel/metrics.h"
 #include "loop/tcpstream.h"
+#include "mesh/uplinkpacer.h"
 
 #include <map>
 #include <set>
@@ -42,7 +43,8 @@
 class PeerLinks
 {
 public:
-    PeerLinks(EventLoop &loop, const LinkIdentity &self, Forwarder &gate, LinkEvents &events, MetricsRegistry &metrics);
+    /// `mbps` of this host's link.
+    PeerLinks(EventLoop &loop, const LinkIdentity &self, double mbps, Forwarder &gate, LinkEvents &events, MetricsRegistry &metrics);
     ~PeerLinks();
 
     Result<void> listen(const Endpoint &endpoint);
@@ -58,6 +60,11 @@
     void pulseNow();
     bool isUp(const Endpoint &peer) const;
     std::vector<Endpoint> linkedPeers() const;
+    const UplinkPacer &uplink() const
+    {
+        return m_pacer;
+    }
+    std::size_t uplinkBacklog() const; ///< bytes of large answers that wait for the link
 
 private:
     class OutboundLink;
@@ -70,6 +77,7 @@
     void endOutbound(OutboundLink &link);
     void endInbound(InboundLink &link);
     void tick(TimePoint now);
+    void pumpLargeAnswers();
 
     EventLoop &m_loop;
     LinkIdentity m_self;
@@ -79,6 +87,9 @@
     std::map<Endpoint, std::unique_ptr<OutboundLink>> m_outbound;
     std::map<InboundLink *, std::unique_ptr<InboundLink>> m_inbound;
     ScopedTimer m_timer;
+    UplinkPacer m_pacer;
+    ScopedTimer m_pacerTimer; ///< runs while large answers wait for the link
+    bool m_pumping = false;
 
     Counter &m_opened;
     Counter &m_lost;
--- a/src/forward/targetgate.cpp
+++ b/src/forward/targetgate.cpp
@@ -19,6 +19,8 @@
 constexpr Duration DownFor = milliseconds(300); ///< ms; between tries to reach a target that took no connection
 constexpr Duration NoticeTime = milliseconds(30); ///< ms; a slot is kept so long after its connection was reset
 constexpr double ResultWeight = 0.05; ///< of one result in the share of failures
+constexpr std::size_t MostRoutes = 1'024; ///< routes whose answers' size is remembered
+constexpr std::size_t BytesPerKib = 1'024;
 constexpr std::size_t MostIdle = 64; ///< connections; above every stated number of slots
 
 constexpr unsigned SlotsBeforeListed = 4; ///< requests at once to a target whose entry is not known yet
@@ -69,9 +71,11 @@
         return m_request;
     }
 
+    /// The answer must be here early enough to be carried to the entry node.
     WorkTicket ticket() const
     {
-        return {m_id, m_request.route, m_request.priority, m_request.goal, m_request.deadline};
+        const auto carry = m_gate.carryTime(m_request);
+        return {m_id, m_request.route, m_request.priority, m_request.goal - carry, m_request.deadline - carry};
     }
 
     void start()
@@ -155,6 +159,7 @@
             return;
         }
         m_untaken += bytes.size();
+        m_answerBytes += bytes.size();
         if (m_untaken >= StreamWindow) {
             m_connection->pauseAnswer();
         }
@@ -195,6 +200,7 @@
     {
         const auto now = m_gate.m_loop.turnTime();
         m_gate.noteResult(isServerError(m_status));
+        m_gate.noteAnswerSize(m_request.route, m_answerBytes);
         m_gate.m_serviceTime.record(now - m_startedAt);
         ForwardEnd end;
         end.outcome = Outcome::Ran;
@@ -309,6 +315,7 @@
     bool m_laterBodyEnds = false;
     std::size_t m_untaken = 0; ///< bytes of the answer that the entry side has not taken
     unsigned m_status = 0;
+    std::size_t m_answerBytes = 0;
     bool m_turnedAway = false; ///< the target says that it did not run the request
     bool m_headTold = false;
     bool m_sentAgain = false;
@@ -419,11 +426,12 @@
 {
     const auto id = m_nextWork++;
     const auto obstacle = obstacleTo(request);
-    auto &work = *m_works.emplace(id, std::make_unique<Work>(*this, id, std::move(request), listener)).first->second;
+    auto owned = std::make_unique<Work>(*this, id, std::move(request), listener);
     AdmissionVerdict verdict{AdmissionVerdict::Kind::Refuse, obstacle, milliseconds(0)};
     if (obstacle == Reason::None) {
-        verdict = m_queue.offer(m_loop.turnTime(), work.ticket());
+        verdict = m_queue.offer(m_loop.turnTime(), owned->ticket());
     }
+    auto &work = *m_works.emplace(id, std::move(owned)).first->second;
     if (verdict.kind == AdmissionVerdict::Kind::Start) {
         work.start();
     } else if (verdict.kind == AdmissionVerdict::Kind::Wait) {
@@ -488,6 +496,46 @@
     }
 }
 
+void TargetGate::noteAnswerSize(const std::string &route, std::size_t bytes)
+{
+    if (m_answerBytes.size() > MostRoutes) {
+        m_answerBytes.clear();
+    }
+    auto &mean = m_answerBytes[route];
+    mean = mean == 0 ? static_cast<double>(bytes) : (1 - ResultWeight) * mean + ResultWeight * static_cast<double>(bytes);
+}
+
+Duration TargetGate::carryWait() const
+{
+    if (m_uplink == nullptr) {
+        return Duration(0);
+    }
+    double bytes = static_cast<double>(m_uplinkBacklog());
+    for (const auto &[id, work] : m_works) {
+        const auto it = m_answerBytes.find(work->request().route);
+        if (work->request().fromPeer && it != m_answerBytes.end() && it->second > SmallAnswerBytes) {
+            bytes += it->second;
+        }
+    }
+    return m_uplink->timeFor(static_cast<std::size_t>(bytes));
+}
+
+Duration TargetGate::carryTime(const ForwardRequest &request) const
+{
+    const auto it = m_answerBytes.find(request.route);
+    const bool large = it != m_answerBytes.end() && it->second > SmallAnswerBytes;
+    if (!large || !request.fromPeer || m_uplink == nullptr) {
+        return Duration(0);
+    }
+    return carryWait() + m_uplink->timeFor(static_cast<std::size_t>(it->second));
+}
+
+void TargetGate::setUplink(const UplinkPacer &pacer, std::function<std::size_t()> backlog)
+{
+    m_uplink = &pacer;
+    m_uplinkBacklog = std::move(backlog);
+}
+
 void TargetGate::noteResult(bool failed)
 {
     m_failedShare = (1 - ResultWeight) * m_failedShare + ResultWeight * (failed ? 1 : 0);
@@ -607,6 +655,10 @@
 {
     auto report = m_queue.report();
     report.failedShare = m_failedShare;
+    report.carryWait = std::chrono::duration_cast<milliseconds>(carryWait());
+    if (m_uplink != nullptr) {
+        report.carryPerKib = std::chrono::duration_cast<microseconds>(m_uplink->timeFor(BytesPerKib));
+    }
     report.leaving = m_leaving || m_targetLeaves || m_loop.turnTime() < m_downUntil;
     return report;
 }
--- a/src/forward/targetgate.h
+++ b/src/forward/targetgate.h
@@ -10,6 +10,7 @@
 
 #include "forward/targetconnection.h"
 #include "kernel/metrics.h"
+#include "mesh/uplinkpacer.h"
 
 #include <list>
 #include <unordered_map>
@@ -27,6 +28,8 @@
     void setTarget(const TargetRecord *target);
     void beginLeaving();
     TargetReport report() const;
+    /// Large answers leave through this; `backlog` are the bytes of them that wait for the link.
+    void setUplink(const UplinkPacer &pacer, std::function<std::size_t()> backlog);
     const std::string &targetId() const
     {
         return m_targetId;
@@ -43,6 +46,9 @@
     friend class Stream;
 
     /// Why a request cannot even be queued; Reason::None when it can.
+    Duration carryWait() const;
+    Duration carryTime(const ForwardRequest &request) const;
+    void noteAnswerSize(const std::string &route, std::size_t bytes);
     Reason obstacleTo(const ForwardRequest &request) const;
     void apply(const QueueChanges &changes);
     void startWork(WorkId id);
@@ -67,6 +73,9 @@
     bool m_leaving = false;
     TimePoint m_downUntil = TimePoint::min(); ///< the target took no connection
     double m_failedShare = 0;
+    const UplinkPacer *m_uplink = nullptr;
+    std::function<std::size_t()> m_uplinkBacklog;
+    std::unordered_map<std::string, double> m_answerBytes; ///< mean by route
     WorkId m_nextWork = 1;
     std::unordered_map<WorkId, std::unique_ptr<Work>> m_works;
     std::list<std::unique_ptr<TargetConnection>> m_idle; ///< most recently used first
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -38,6 +38,7 @@
     std::optional<std::uint64_t> bodyLength; ///< bytes; none: not known before it ends
     std::string body; ///< its first bytes
     bool bodyWhole = true; ///< nothing follows `body`
+    bool fromPeer = false; ///< its answer leaves over this host's link; set by the exit node
 };
 
 struct ForwardAnswer {
--- a/src/mesh/slotqueue.h
+++ b/src/mesh/slotqueue.h
@@ -42,6 +42,8 @@
     unsigned limit = 0; ///< requests at once; 0: not known
     unsigned waiting = 0; ///< requests
     microseconds meanService{0}; ///< us; recent mean over all kinds, 0: not known
+    milliseconds carryWait{0}; ///< ms; large answers that are queued on the host's link need so long
+    microseconds carryPerKib{0}; ///< us; the host's link needs for a KiB of a large answer
     double failedShare = 0; ///< 0 to 1; recent share of requests that the target failed
     bool leaving = false;
     bool operator==(const TargetReport &) const = default;
@@ -97,7 +99,7 @@
     void onTurnedAway(TimePoint now);
     QueueChanges resize(TimePoint now, unsigned slots);
     void onNewLifetime(); ///< another process runs at the target's address: what was learnt is forgotten
-    TargetReport report() const; ///< without failedShare and leaving
+    TargetReport report() const; ///< slots, queue and service times; the rest is the gate's
     unsigned limit() const;
     std::size_t waiting() const
     {
--- a/src/mesh/targetpicker.cpp
+++ b/src/mesh/targetpicker.cpp
@@ -1,5 +1,7 @@
 #include "mesh/targetpicker.h"
 
+#include "mesh/uplinkpacer.h"
+
 #include <algorithm>
 #include <set>
 
@@ -70,6 +72,24 @@
     return queued * service / limit + FillingSurcharge * filling * filling * service;
 }
 
+/// Seconds for bringing the answer here.
+double TargetPicker::carryCost(const TargetRecord &target, const PickRequest &request, const TargetReport &report) const
+{
+    if (target.address.host == m_settings.host) {
+        return 0;
+    }
+    const auto size = m_answerKib.find(request.kind);
+    const double kib = size == m_answerKib.end() ? 0 : size->second;
+    double cost = 0;
+    if (kib * BytesPerKib > static_cast<double>(SmallAnswerBytes)) {
+        cost += secondsOf(report.carryWait) + kib * secondsOf(report.carryPerKib);
+    }
+    if (target.dataCentre != m_settings.dataCentre) {
+        cost += secondsOf(m_settings.otherDataCentre) + kib * secondsOf(m_settings.perKibAcross);
+    }
+    return cost;
+}
+
 double TargetPicker::costOf(TimePoint now, const TargetRecord &target, const PickRequest &request, double usual) const
 {
     static const Knowledge nothing;
@@ -82,11 +102,7 @@
     double cost = service + waitOf(now, target, knowledge, service);
     const double failed = std::max(knowledge.failedShare, knowledge.report.failedShare);
     cost += failed * FailureSurcharge * std::max(secondsOf(request.timeToGoal), service);
-    if (target.dataCentre != m_settings.dataCentre) {
-        const auto size = m_answerKib.find(request.kind);
-        cost += secondsOf(m_settings.otherDataCentre);
-        cost += size == m_answerKib.end() ? 0 : size->second * secondsOf(m_settings.perKibAcross);
-    }
+    cost += carryCost(target, request, knowledge.report);
     return cost;
 }
 
--- a/src/mesh/targetpicker.h
+++ b/src/mesh/targetpicker.h
@@ -36,6 +36,7 @@
 
 struct PickerSettings {
     std::string dataCentre; ///< of this node
+    std::string host; ///< of this node; answers of its own target need not be carried
     std::uint64_t seed = 0;
     milliseconds reportAge{1'500}; ///< ms; an older report counts for little
     milliseconds avoidUnreachable{1'000}; ///< ms; a host that could not be reached is left out this long
@@ -81,6 +82,7 @@
         bool linked = false; ///< its host can be reached without delay
     };
 
+    double carryCost(const TargetRecord &target, const PickRequest &request, const TargetReport &report) const;
     double costOf(TimePoint now, const TargetRecord &target, const PickRequest &request, double usualService) const;
     double waitOf(TimePoint now, const TargetRecord &target, const Knowledge &knowledge, double service) const;
     double usualService(const std::vector<TargetRecord> &candidates) const;
--- /dev/null
+++ b/src/mesh/uplinkpacer.cpp
@@ -0,0 +1,57 @@
+#include "mesh/uplinkpacer.h"
+
+#include <algorithm>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr double UsableShare = 0.9; ///< of the link; the rest is for headers of packets, heartbeats and callers' requests
+constexpr double BurstSeconds = 0.02; ///< s of the link that may leave at once; the longest that a small answer waits
+constexpr double LeastBurstBytes = 32 * 1024; ///< bytes; two pieces, so that a fast link is not held up by timers
+constexpr double BitsPerMegabit = 1e6;
+constexpr double BitsPerByte = 8;
+
+double burst(double bytesPerSecond)
+{
+    return std::max(LeastBurstBytes, bytesPerSecond * BurstSeconds);
+}
+
+} // namespace
+
+UplinkPacer::UplinkPacer(double mbps)
+    : m_bytesPerSecond(mbps * BitsPerMegabit / BitsPerByte * UsableShare)
+    , m_credit(burst(m_bytesPerSecond))
+{
+}
+
+void UplinkPacer::refill(TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
+    m_refilledAt = now;
+    m_credit = std::min(burst(m_bytesPerSecond), m_credit + elapsed * m_bytesPerSecond);
+}
+
+bool UplinkPacer::mayLeave(TimePoint now)
+{
+    refill(now);
+    return m_credit > 0;
+}
+
+void UplinkPacer::onLeft(TimePoint now, std::size_t bytes)
+{
+    refill(now);
+    m_credit -= static_cast<double>(bytes);
+}
+
+TimePoint UplinkPacer::nextAt(TimePoint now) const
+{
+    return m_credit > 0 ? now : now + std::chrono::ceil<milliseconds>(std::chrono::duration<double>(-m_credit / m_bytesPerSecond)) + milliseconds(1);
+}
+
+Duration UplinkPacer::timeFor(std::size_t bytes) const
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(bytes) / m_bytesPerSecond));
+}
+
+} // namespace Fescuenotch
--- a/src/wire/mesh_generated.h
+++ b/src/wire/mesh_generated.h
@@ -296,7 +296,9 @@
     VT_WAITING = 8,
     VT_MEAN_SERVICE_US = 10,
     VT_FAILED_PERMILLE = 12,
-    VT_LEAVING = 14
+    VT_CARRY_WAIT_MS = 14,
+    VT_CARRY_US_PER_KIB = 16,
+    VT_LEAVING = 18
   };
   uint32_t running() const {
     return GetField<uint32_t>(VT_RUNNING, 0);
@@ -313,6 +315,12 @@
   uint16_t failed_permille() const {
     return GetField<uint16_t>(VT_FAILED_PERMILLE, 0);
   }
+  uint32_t carry_wait_ms() const {
+    return GetField<uint32_t>(VT_CARRY_WAIT_MS, 0);
+  }
+  uint32_t carry_us_per_kib() const {
+    return GetField<uint32_t>(VT_CARRY_US_PER_KIB, 0);
+  }
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
@@ -323,6 +331,8 @@
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint32_t>(verifier, VT_MEAN_SERVICE_US, 4) &&
            VerifyField<uint16_t>(verifier, VT_FAILED_PERMILLE, 2) &&
+           VerifyField<uint32_t>(verifier, VT_CARRY_WAIT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CARRY_US_PER_KIB, 4) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
@@ -347,6 +357,12 @@
   void add_failed_permille(uint16_t failed_permille) {
     fbb_.AddElement<uint16_t>(Report::VT_FAILED_PERMILLE, failed_permille, 0);
   }
+  void add_carry_wait_ms(uint32_t carry_wait_ms) {
+    fbb_.AddElement<uint32_t>(Report::VT_CARRY_WAIT_MS, carry_wait_ms, 0);
+  }
+  void add_carry_us_per_kib(uint32_t carry_us_per_kib) {
+    fbb_.AddElement<uint32_t>(Report::VT_CARRY_US_PER_KIB, carry_us_per_kib, 0);
+  }
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(Report::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
@@ -368,8 +384,12 @@
     uint32_t waiting = 0,
     uint32_t mean_service_us = 0,
     uint16_t failed_permille = 0,
+    uint32_t carry_wait_ms = 0,
+    uint32_t carry_us_per_kib = 0,
     bool leaving = false) {
   ReportBuilder builder_(_fbb);
+  builder_.add_carry_us_per_kib(carry_us_per_kib);
+  builder_.add_carry_wait_ms(carry_wait_ms);
   builder_.add_mean_service_us(mean_service_us);
   builder_.add_waiting(waiting);
   builder_.add_limit(limit);
--- /dev/null
+++ b/tests/mesh/uplinkpacer_test.cpp
@@ -0,0 +1,64 @@
+#include "mesh/uplinkpacer.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Fescuenotch;
+
+namespace {
+
+constexpr std::size_t Piece = 16 * 1024;
+
+/// Bytes of large answers that leave in `time` when there is always one.
+std::size_t sendAllThatMay(UplinkPacer &pacer, TimePoint from, Duration time)
+{
+    std::size_t sent = 0;
+    for (auto now = from; now < from + time; now = std::max(now + milliseconds(1), pacer.nextAt(now))) {
+        while (pacer.mayLeave(now)) {
+            pacer.onLeft(now, Piece);
+            sent += Piece;
+        }
+    }
+    return sent;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UplinkPacerTest)
+
+/// Pattern: downloads without end on a link of 6 Mbit/s. What is handed to the kernel stays below what it can carry.
+BOOST_AUTO_TEST_CASE(largeAnswers_withoutEnd_leaveAtThePaceOfTheLink)
+{
+    UplinkPacer pacer(6);
+    const auto sent = sendAllThatMay(pacer, TimePoint(seconds(100)), seconds(10));
+    BOOST_TEST(sent <= 6e6 / 8 * 10);
+    BOOST_TEST(sent >= 6e6 / 8 * 10 * 0.8);
+}
+
+BOOST_AUTO_TEST_CASE(smallAnswers_takeTheLinkFirst_largeOnesGetTheRest)
+{
+    UplinkPacer pacer(6);
+    auto now = TimePoint(seconds(100));
+    std::size_t large = 0;
+    std::size_t small = 0;
+    for (const auto until = now + seconds(10); now < until; now += milliseconds(10)) {
+        pacer.onLeft(now, 4'000); // 400 KB a second of small answers
+        small += 4'000;
+        while (pacer.mayLeave(now)) {
+            pacer.onLeft(now, Piece);
+            large += Piece;
+        }
+    }
+    BOOST_TEST(large + small <= 6e6 / 8 * 10);
+    BOOST_TEST(large > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(fastLink_oneLargeAnswer_isNotHeldUp)
+{
+    UplinkPacer pacer(1'000);
+    const auto now = TimePoint(seconds(100));
+    pacer.mayLeave(now);
+    pacer.onLeft(now, 500'000);
+    BOOST_TEST(pacer.mayLeave(now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
