The pace of large answers counts all that leaves over the host's link

Cause: answers to the host's own callers, pulses and packet headers were not counted, so a link of 6 Mbit/s was still overfull and calls of targets (licence checks) came late; their parents kept slots.

--- a/src/forward/callerserver.cpp
+++ b/src/forward/callerserver.cpp
@@ -426,6 +426,9 @@
             m_closing = m_closing || (!head.empty() && closes) || (front.headTaken() && front.endsConnection());
             m_readNoMore = m_readNoMore || m_closing;
             m_tcp->write(front.out);
+            if (!head.empty() || !front.out.empty()) {
+                m_server.m_core.parts().links->noteOtherTraffic(head.size() + front.out.size());
+            }
             front.out.clear();
             const bool stillReceives = m_receiving == m_requests.front().get();
             if (!front.isFinished() || stillReceives) {
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -46,7 +46,9 @@
         entry.listener = &listener;
         m_lastUsed = m_links.m_loop.turnTime();
         if (isUp()) {
-            m_tcp->write(encodeOpen(id, request, m_links.m_loop.turnTime()));
+            const auto frame = encodeOpen(id, request, m_links.m_loop.turnTime());
+            m_links.m_pacer.onLeft(m_links.m_loop.turnTime(), frame.size());
+            m_tcp->write(frame);
         } else {
             entry.unsent = std::move(request);
         }
@@ -354,6 +356,7 @@
     void write(const std::string &frame)
     {
         m_lastWrite = m_links.m_loop.turnTime();
+        m_links.m_pacer.onLeft(m_lastWrite, frame.size());
         m_tcp->write(frame);
     }
 
@@ -599,7 +602,6 @@
     {
         const auto n = std::min({exchange.waiting.size(), exchange.credit, PieceBytes});
         write(encodeAnswerBody(id, std::string_view(exchange.waiting).substr(0, n)));
-        m_links.m_pacer.onLeft(m_links.m_loop.turnTime(), n);
         exchange.waiting.erase(0, n);
         exchange.credit -= n;
         if (!exchange.ended) {
@@ -737,6 +739,11 @@
     }
 }
 
+void PeerLinks::noteOtherTraffic(std::size_t bytes)
+{
+    m_pacer.onLeft(m_loop.turnTime(), bytes);
+}
+
 std::size_t PeerLinks::uplinkBacklog() const
 {
     std::size_t bytes = 0;
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -64,6 +64,8 @@
     {
         return m_pacer;
     }
+    /// Bytes that leave over this host's link by other ways than these links.
+    void noteOtherTraffic(std::size_t bytes);
     std::size_t uplinkBacklog() const; ///< bytes of large answers that wait for the link
 
 private:
--- a/src/mesh/uplinkpacer.cpp
+++ b/src/mesh/uplinkpacer.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr double UsableShare = 0.9; ///< of the link; the rest is for headers of packets, heartbeats and callers' requests
+constexpr double UsableShare = 0.9; ///< of the link; the rest is for acknowledgements and what is sent again
+constexpr std::size_t WriteOverheadBytes = 66; ///< bytes of headers of Ethernet, IP and TCP for a write
 constexpr double BurstSeconds = 0.02; ///< s of the link that may leave at once; the longest that a small answer waits
 constexpr double LeastBurstBytes = 32 * 1024; ///< bytes; two pieces, so that a fast link is not held up by timers
 constexpr double BitsPerMegabit = 1e6;
@@ -41,7 +42,7 @@
 void UplinkPacer::onLeft(TimePoint now, std::size_t bytes)
 {
     refill(now);
-    m_credit -= static_cast<double>(bytes);
+    m_credit -= static_cast<double>(bytes + WriteOverheadBytes);
 }
 
 TimePoint UplinkPacer::nextAt(TimePoint now) const
--- a/src/mesh/uplinkpacer.h
+++ b/src/mesh/uplinkpacer.h
@@ -22,7 +22,7 @@
     /// `mbps` of the host's link.
     explicit UplinkPacer(double mbps);
     bool mayLeave(TimePoint now);
-    void onLeft(TimePoint now, std::size_t bytes);
+    void onLeft(TimePoint now, std::size_t bytes); ///< with one write
     /// When the next piece may leave.
     TimePoint nextAt(TimePoint now) const;
     /// Time that the link needs for so many bytes of large answers.
