--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -263,6 +263,7 @@
     }
     const bool unreached = end.reason == Reason::LinkLost || (end.reason == Reason::ConnectFailed && !end.report);
     const auto result = unreached         ? SendResult::NotReached
+        : end.reason == Reason::WrongHost ? SendResult::NotThere
         : end.outcome == Outcome::NotRun  ? SendResult::TurnedAway
         : end.reason == Reason::Cancelled ? SendResult::GivenUp
                                           : SendResult::Failed;
--- a/src/forward/targetgate.cpp
+++ b/src/forward/targetgate.cpp
@@ -46,6 +46,7 @@
                                              Reason::DeadlinePassed,
                                              Reason::ConnectFailed,
                                              Reason::TargetShed,
+                                             Reason::WrongHost,
                                              Reason::Cancelled};
     return reasons;
 }
@@ -212,7 +213,9 @@
     void endTurnedAway()
     {
         const bool wrongTarget = m_status == m_gate.m_adapter.wrongTargetStatus();
-        if (!wrongTarget) {
+        if (wrongTarget) {
+            m_gate.m_absentId = m_request.targetId;
+        } else {
             m_gate.m_queue.onTurnedAway(m_gate.m_loop.turnTime());
             m_gate.noteResult(true);
         }
@@ -419,6 +422,9 @@
     if (now < m_downUntil) {
         return Reason::ConnectFailed;
     }
+    if (!m_absentId.empty() && request.targetId == m_absentId) {
+        return Reason::WrongHost;
+    }
     return request.targetId.empty() ? Reason::NoTarget : Reason::None;
 }
 
--- a/src/forward/targetgate.h
+++ b/src/forward/targetgate.h
@@ -69,6 +69,7 @@
     const PlatformAdapter &m_adapter;
     SlotQueue m_queue;
     std::string m_targetId; ///< empty: none known
+    std::string m_absentId; ///< lifetime that the target said it is not
     bool m_targetLeaves = false; ///< its entry says draining, or is gone
     bool m_leaving = false;
     TimePoint m_downUntil = TimePoint::min(); ///< the target took no connection
--- a/src/mesh/targetpicker.cpp
+++ b/src/mesh/targetpicker.cpp
@@ -153,6 +153,8 @@
         knowledge.failedShare = (1 - ResultWeight) * knowledge.failedShare + ResultWeight * sample;
     } else if (result == SendResult::NotReached) {
         knowledge.avoidUntil = now + m_settings.avoidUnreachable;
+    } else if (result == SendResult::NotThere) {
+        knowledge.avoidUntil = now + m_settings.avoidNotThere;
     }
 }
 
--- a/src/mesh/targetpicker.h
+++ b/src/mesh/targetpicker.h
@@ -31,6 +31,7 @@
     Failed, ///< the target broke, answered wrongly or not at all
     TurnedAway, ///< refused by the exit node or the target, not run
     NotReached, ///< the exit node could not be reached
+    NotThere, ///< another lifetime runs at the target's address
     GivenUp, ///< cancelled by the caller: tells nothing
 };
 
@@ -40,6 +41,7 @@
     std::uint64_t seed = 0;
     milliseconds reportAge{1'500}; ///< ms; an older report counts for little
     milliseconds avoidUnreachable{1'000}; ///< ms; a host that could not be reached is left out this long
+    milliseconds avoidNotThere{3'000}; ///< ms; a lifetime that has ended is left out this long; its entry lapses meanwhile
     milliseconds otherDataCentre{2}; ///< ms; cost of the way to another data centre and back
     Duration perKibAcross = milliseconds(1); ///< ms a KiB; what carrying an answer between data centres weighs
     double nearCheapest = 1.1; ///< targets within this factor of the cheapest are drawn from
--- a/src/mesh/targets.cpp
+++ b/src/mesh/targets.cpp
@@ -115,9 +115,17 @@
 
 std::vector<TargetRecord> TargetTable::ofService(const std::string &service) const
 {
+    std::map<Endpoint, std::int64_t> latestStart;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.record) {
+            auto &latest = latestStart[entry.record->address];
+            latest = std::max(latest, entry.record->startedAtMs);
+        }
+    }
     std::vector<TargetRecord> found;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.record && entry.record->service == service && entry.record->state == TargetState::Ready) {
+        const bool usable = entry.record && entry.record->service == service && entry.record->state == TargetState::Ready;
+        if (usable && entry.record->startedAtMs >= latestStart[entry.record->address]) {
             found.push_back(*entry.record);
         }
     }
--- a/src/mesh/targets.h
+++ b/src/mesh/targets.h
@@ -60,7 +60,8 @@
     /// Carries out removals that were held back long enough.
     std::vector<TargetChange> tick(TimePoint now);
 
-    std::vector<TargetRecord> ofService(const std::string &service) const; ///< usable ones
+    /// Usable ones. An entry whose address another one has taken since is left over from a target that is gone.
+    std::vector<TargetRecord> ofService(const std::string &service) const;
     std::vector<TargetRecord> all() const; ///< every one that is listed, draining ones too
     const TargetRecord *find(const std::string &id) const; ///< null when it is not listed
     /// The listed target at an address; the latest started when several claim it.
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -352,6 +352,25 @@
     BOOST_TEST(answer.find("HTTP/1.1", 8) == std::string::npos);
 }
 
+/// The target came back under another id; its old entry is still listed.
+BOOST_AUTO_TEST_CASE(targetSaysItIsAnother_isAskedOnceAndThenLeftAlone)
+{
+    std::atomic<unsigned> asked{0};
+    addRawNode("desk", [&](RawSocket &socket, unsigned) {
+        while (!socket.receiveUntil("\r\n\r\n", seconds(2)).empty()) {
+            ++asked;
+            socket.send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    addNode("desk");
+    publish(1);
+    waitReady();
+    for (int n = 0; n < 30; ++n) {
+        BOOST_TEST(has(post(0, "/file/x", "b"), "200 OK"));
+    }
+    BOOST_TEST(asked <= 1U);
+}
+
 // ---- [changes] --------------------------------------------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(configurationChanges_newOneIsInForceAndAnOlderNeverReturns)
--- a/tests/mesh/targetpicker_test.cpp
+++ b/tests/mesh/targetpicker_test.cpp
@@ -102,6 +102,15 @@
     BOOST_TEST(chooseMany(picker, 50)["one0"] == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(choose_anotherLifetimeRunsThere_isLeftOutUntilItsEntryLapses)
+{
+    addTargets("one", 2);
+    auto picker = makePicker();
+    picker.onSent(now, "one0");
+    picker.onEnded(now, "one0", SendResult::NotThere);
+    BOOST_TEST(chooseMany(picker, 50)["one0"] == 0U);
+}
+
 // ---- [patterns of load] -----------------------------------------------------------------------------------------
 
 /// Pattern: targets of one service differ in speed by a factor of two and more.
--- a/tests/mesh/targets_test.cpp
+++ b/tests/mesh/targets_test.cpp
@@ -113,6 +113,20 @@
     BOOST_TEST(table.atAddress({"127.1.0.1", 9'000})->id == "second");
 }
 
+/// All hosts lost power: targets are back under new ids while their old entries have not lapsed yet.
+BOOST_AUTO_TEST_CASE(ofService_addressTakenByALaterStart_olderOneIsNotUsed)
+{
+    auto before = listed("before", 5);
+    before.record->startedAtMs = 100;
+    auto after = listed("after", 6);
+    after.record->startedAtMs = 200;
+    table.apply(now, before, notHeld);
+    table.apply(now, after, notHeld);
+    const auto usable = table.ofService("desk");
+    BOOST_REQUIRE(usable.size() == 1U);
+    BOOST_TEST(usable.front().id == "after");
+}
+
 BOOST_AUTO_TEST_CASE(newsAfter_peerLacksSome_givesJustThoseAndNoHeldBackRemoval)
 {
     table.apply(now, listed("a", 5), notHeld);
