--- a/src/mesh/targetpicker.h
+++ b/src/mesh/targetpicker.h
@@ -43,7 +43,7 @@
     milliseconds avoidUnreachable{1'000}; ///< ms; a host that could not be reached is left out this long
     milliseconds avoidNotThere{3'000}; ///< ms; a lifetime that has ended is left out this long; its entry lapses meanwhile
     milliseconds otherDataCentre{2}; ///< ms; cost of the way to another data centre and back
-    Duration perKibAcross = milliseconds(1); ///< ms a KiB; what carrying an answer between data centres weighs
+    Duration perKibAcross = milliseconds(4); ///< ms a KiB; traffic between data centres is paid for: a download stays unless that costs its goal
     double nearCheapest = 1.1; ///< targets within this factor of the cheapest are drawn from
     std::size_t mostCompared = 24; ///< targets looked at for one request; more are sampled
 };
