--- a/src/mesh/targetpicker.cpp
+++ b/src/mesh/targetpicker.cpp
@@ -12,6 +12,7 @@
 constexpr double ResultWeight = 0.1; ///< of one result in the share of failures
 constexpr double DefaultServiceSeconds = 0.05; ///< s; before any target of a service was measured
 constexpr double FailureSurcharge = 3; ///< goals; what a certain failure costs
+constexpr double LateSurcharge = 1; ///< goals; what an answer behind its goal costs
 constexpr double FillingSurcharge = 0.3; ///< of the service time at a target with all slots in use
 constexpr double ColdFactor = 1.5; ///< of the service time while a target is cold
 constexpr double BytesPerKib = 1'024;
@@ -72,22 +73,28 @@
     return queued * service / limit + FillingSurcharge * filling * filling * service;
 }
 
+double TargetPicker::answerKib(const PickRequest &request) const
+{
+    const auto size = m_answerKib.find(request.kind);
+    return size == m_answerKib.end() ? 0 : size->second;
+}
+
 /// Seconds for bringing the answer here.
-double TargetPicker::carryCost(const TargetRecord &target, const PickRequest &request, const TargetReport &report) const
+double TargetPicker::carryTime(const TargetRecord &target, const PickRequest &request, const TargetReport &report) const
 {
     if (target.address.host == m_settings.host) {
         return 0;
     }
-    const auto size = m_answerKib.find(request.kind);
-    const double kib = size == m_answerKib.end() ? 0 : size->second;
-    double cost = 0;
-    if (kib * BytesPerKib > static_cast<double>(SmallAnswerBytes)) {
-        cost += secondsOf(report.carryWait) + kib * secondsOf(report.carryPerKib);
-    }
-    if (target.dataCentre != m_settings.dataCentre) {
-        cost += secondsOf(m_settings.otherDataCentre) + kib * secondsOf(m_settings.perKibAcross);
-    }
-    return cost;
+    const double way = target.dataCentre == m_settings.dataCentre ? 0 : secondsOf(m_settings.otherDataCentre);
+    const double kib = answerKib(request);
+    const bool isLarge = kib * BytesPerKib > static_cast<double>(SmallAnswerBytes);
+    return isLarge ? way + secondsOf(report.carryWait) + kib * secondsOf(report.carryPerKib) : way;
+}
+
+/// What the bytes between data centres weigh, as seconds.
+double TargetPicker::bytesAcross(const TargetRecord &target, const PickRequest &request) const
+{
+    return target.dataCentre == m_settings.dataCentre ? 0 : answerKib(request) * secondsOf(m_settings.perKibAcross);
 }
 
 double TargetPicker::costOf(TimePoint now, const TargetRecord &target, const PickRequest &request, double usual) const
@@ -99,10 +106,13 @@
     if (target.coldFor > milliseconds(0) && knowledge.report.meanService == microseconds(0)) {
         service *= ColdFactor;
     }
-    double cost = service + waitOf(now, target, knowledge, service);
+    const double time = service + waitOf(now, target, knowledge, service) + carryTime(target, request, knowledge.report);
+    const double goal = std::max(secondsOf(request.timeToGoal), service);
     const double failed = std::max(knowledge.failedShare, knowledge.report.failedShare);
-    cost += failed * FailureSurcharge * std::max(secondsOf(request.timeToGoal), service);
-    cost += carryCost(target, request, knowledge.report);
+    double cost = time + failed * FailureSurcharge * goal + bytesAcross(target, request);
+    if (time > goal) {
+        cost += LateSurcharge * goal;
+    }
     return cost;
 }
 
--- a/src/mesh/targetpicker.h
+++ b/src/mesh/targetpicker.h
@@ -84,7 +84,9 @@
         bool linked = false; ///< its host can be reached without delay
     };
 
-    double carryCost(const TargetRecord &target, const PickRequest &request, const TargetReport &report) const;
+    double answerKib(const PickRequest &request) const;
+    double carryTime(const TargetRecord &target, const PickRequest &request, const TargetReport &report) const;
+    double bytesAcross(const TargetRecord &target, const PickRequest &request) const;
     double costOf(TimePoint now, const TargetRecord &target, const PickRequest &request, double usualService) const;
     double waitOf(TimePoint now, const TargetRecord &target, const Knowledge &knowledge, double service) const;
     double usualService(const std::vector<TargetRecord> &candidates) const;
--- a/tests/mesh/targetpicker_test.cpp
+++ b/tests/mesh/targetpicker_test.cpp
@@ -20,6 +20,7 @@
     {
         PickerSettings settings;
         settings.dataCentre = "one";
+        settings.host = "127.9.9.9";
         settings.seed = seed;
         TargetPicker picker(settings);
         for (const auto &target : targets) {
@@ -34,6 +35,7 @@
             TargetRecord r;
             r.id = dataCentre + std::to_string(n);
             r.service = "desk";
+            r.address = {"127.1." + std::to_string(targets.size()) + ".1", 9'000};
             r.dataCentre = dataCentre;
             r.slots = slots;
             targets.push_back(r);
@@ -141,6 +143,22 @@
     BOOST_TEST(chooseMany(picker, 20)["two0"] == 20U);
 }
 
+/// Pattern: downloads on slow links. A target whose host's link is busy with others is left alone; its small answers are not.
+BOOST_AUTO_TEST_CASE(choose_linkOfOneHostIsBusy_largeAnswersGoElsewhereAndSmallOnesDont)
+{
+    addTargets("one", 2);
+    auto picker = makePicker();
+    auto busy = report(2, milliseconds(100));
+    busy.carryWait = milliseconds(800);
+    picker.onReport(now, "one0", busy);
+    picker.onReport(now, "one1", report(4, milliseconds(100)));
+    picker.onAnswerSize("read", 2'000);
+    BOOST_TEST(chooseMany(picker, 50)["one0"] > 0U);
+    request.kind = "download";
+    picker.onAnswerSize("download", 90'000);
+    BOOST_TEST(chooseMany(picker, 50)["one0"] == 0U);
+}
+
 /// Pattern: a target fails half of its requests although its health probe is good.
 BOOST_AUTO_TEST_CASE(choose_targetFailsHalf_getsHardlyAnythingWhileOthersHaveRoom)
 {
