--- a/src/forward/linkcodec.cpp
+++ b/src/forward/linkcodec.cpp
@@ -180,7 +180,8 @@
     const auto report = makeReport(fbb, pulse.report);
     const auto age = std::chrono::duration_cast<milliseconds>(pulse.storeAge).count();
     const auto ageMs = static_cast<std::uint32_t>(std::min<std::int64_t>(age, NoStoreAge));
-    return finish(fbb, MeshWire::CreatePulse(fbb, clockValue(now), target, report, pulse.configuration, pulse.storeRevision, pulse.targetsDigest, ageMs));
+    return finish(
+        fbb, MeshWire::CreatePulse(fbb, clockValue(now), target, report, pulse.configuration, pulse.storeRevision, pulse.targetsDigest, pulse.linkMbps, ageMs));
 }
 
 std::string encodeOpen(std::uint64_t stream, const ForwardRequest &request, TimePoint now)
@@ -282,6 +283,7 @@
     out.configuration = pulse.configuration();
     out.storeRevision = pulse.store_revision();
     out.targetsDigest = pulse.targets_digest();
+    out.linkMbps = pulse.link_mbps();
     if (pulse.store_age_ms() != NoStoreAge) {
         out.storeAge = milliseconds(pulse.store_age_ms());
     }
--- a/src/forward/linkcodec.h
+++ b/src/forward/linkcodec.h
@@ -58,6 +58,7 @@
     std::uint64_t configuration = 0; ///< version in force; 0: none
     std::uint64_t storeRevision = 0; ///< the view of the targets is whole up to here
     std::uint64_t targetsDigest = 0;
+    unsigned linkMbps = 0; ///< Mbit/s of the sender's link
     Duration storeAge = Duration::max(); ///< since the store answered this node; max: it does not watch the store
 };
 
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -103,7 +103,8 @@
     m_worker = std::make_unique<Worker>(m_loop);
     m_gate = std::make_unique<TargetGate>(m_loop, m_settings, *m_adapter, metrics);
     m_state = std::make_unique<StateExchange>(m_loop, *m_worker, m_settings, m_targets, *this, metrics);
-    m_links = std::make_unique<PeerLinks>(m_loop, LinkIdentity{m_settings.host, m_settings.dataCentre, m_incarnation}, m_settings.linkMbps, *m_gate, *this, metrics);
+    m_links = std::make_unique<PeerLinks>(
+        m_loop, LinkIdentity{m_settings.host, m_settings.dataCentre, m_incarnation}, m_settings.linkMbps, *m_gate, *this, metrics);
     m_state->setLinks(*m_links);
     m_gate->setUplink(m_links->uplink(), [this] { return m_links->uplinkBacklog(); });
     MeshEntryParts parts;
@@ -382,6 +383,7 @@
     pulse.report = m_gate->report();
     pulse.configuration = m_entry->table() ? m_entry->table()->version() : 0;
     pulse.storeRevision = m_storeRevision;
+    pulse.linkMbps = static_cast<unsigned>(m_settings.linkMbps);
     pulse.targetsDigest = m_hasTargets ? m_targets.digest() : 0;
     if (m_store->isWatching() && !m_stopSince) {
         pulse.storeAge = m_store->follower().age(m_loop.turnTime());
--- a/src/forward/stateexchange.cpp
+++ b/src/forward/stateexchange.cpp
@@ -20,7 +20,7 @@
     , m_settings(settings)
     , m_targets(targets)
     , m_owner(owner)
-    , m_duty(settings.host)
+    , m_duty(settings.host, static_cast<unsigned>(settings.linkMbps))
     , m_asked(metrics.counter("fescuenotch_state_questions_total", "Questions to peers for news of the platform's state."))
     , m_told(metrics.counter("fescuenotch_state_answers_total", "Answers to such questions of peers."))
     , m_toldBytes(metrics.counter("fescuenotch_state_answer_bytes_total", "Bytes of these answers."))
@@ -46,7 +46,7 @@
 
 void StateExchange::onPulse(TimePoint now, const Endpoint &peer, const LinkPulse &pulse)
 {
-    m_duty.onPulse(now, peer.host, pulse.storeAge);
+    m_duty.onPulse(now, peer.host, pulse.linkMbps, pulse.storeAge);
     auto mark = ownMark();
     const bool newerConfiguration = pulse.configuration > mark.configuration && !m_unpacking;
     const bool otherTargets = pulse.storeRevision >= mark.storeRevision && pulse.targetsDigest != m_targets.digest();
--- a/src/mesh/readerduty.h
+++ b/src/mesh/readerduty.h
@@ -1,7 +1,8 @@
 // Who watches the platform's store in a data centre. Calls to the store are counted and paid for, and its rates grow more
 // slowly than the fleet, so one node of a data centre watches and the others hear of changes from their peers.
 //
-// The nodes of a data centre rank themselves by a hash of their hosts. A node watches unless one that ranks before it
+// The nodes of a data centre rank themselves: those with fast links first, since the configuration comes whole from the
+// store, then by a hash of their hosts. A node watches unless one that ranks before it
 // tells that the store has answered it lately. Two nodes may both watch for a while: that costs calls, never a wrong
 // answer. Nothing is elected and nothing is written.
 //
@@ -23,9 +24,9 @@
 class ReaderDuty
 {
 public:
-    explicit ReaderDuty(std::string host);
+    ReaderDuty(std::string host, unsigned linkMbps);
     /// `storeAge`: since the store answered that peer; Duration::max() when it does not watch.
-    void onPulse(TimePoint now, const std::string &host, Duration storeAge);
+    void onPulse(TimePoint now, const std::string &host, unsigned linkMbps, Duration storeAge);
     void onGone(const std::string &host);
     /// `hosts` are those of the own data centre, this one among them.
     bool shouldWatch(TimePoint now, std::vector<std::string> hosts);
@@ -34,11 +35,14 @@
     struct Heard {
         TimePoint at;
         Duration storeAge{0};
+        unsigned linkMbps = 0;
     };
 
+    unsigned linkOf(const std::string &host) const;
     bool isFresh(TimePoint now, const std::string &host) const;
 
     std::string m_host;
+    unsigned m_linkMbps;
     std::map<std::string, Heard> m_heard; ///< by host
     TimePoint m_missedSince = TimePoint::max(); ///< no peer that ranks before is fresh
 };
--- a/src/wire/mesh_generated.h
+++ b/src/wire/mesh_generated.h
@@ -511,7 +511,8 @@
     VT_CONFIGURATION = 10,
     VT_STORE_REVISION = 12,
     VT_TARGETS_DIGEST = 14,
-    VT_STORE_AGE_MS = 16
+    VT_LINK_MBPS = 16,
+    VT_STORE_AGE_MS = 18
   };
   int64_t sent_at() const {
     return GetField<int64_t>(VT_SENT_AT, 0);
@@ -531,6 +532,9 @@
   uint64_t targets_digest() const {
     return GetField<uint64_t>(VT_TARGETS_DIGEST, 0);
   }
+  uint32_t link_mbps() const {
+    return GetField<uint32_t>(VT_LINK_MBPS, 0);
+  }
   uint32_t store_age_ms() const {
     return GetField<uint32_t>(VT_STORE_AGE_MS, 4294967295);
   }
@@ -544,6 +548,7 @@
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_TARGETS_DIGEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LINK_MBPS, 4) &&
            VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
            verifier.EndTable();
   }
@@ -571,6 +576,9 @@
   void add_targets_digest(uint64_t targets_digest) {
     fbb_.AddElement<uint64_t>(Pulse::VT_TARGETS_DIGEST, targets_digest, 0);
   }
+  void add_link_mbps(uint32_t link_mbps) {
+    fbb_.AddElement<uint32_t>(Pulse::VT_LINK_MBPS, link_mbps, 0);
+  }
   void add_store_age_ms(uint32_t store_age_ms) {
     fbb_.AddElement<uint32_t>(Pulse::VT_STORE_AGE_MS, store_age_ms, 4294967295);
   }
@@ -593,6 +601,7 @@
     uint64_t configuration = 0,
     uint64_t store_revision = 0,
     uint64_t targets_digest = 0,
+    uint32_t link_mbps = 0,
     uint32_t store_age_ms = 4294967295) {
   PulseBuilder builder_(_fbb);
   builder_.add_targets_digest(targets_digest);
@@ -600,6 +609,7 @@
   builder_.add_configuration(configuration);
   builder_.add_sent_at(sent_at);
   builder_.add_store_age_ms(store_age_ms);
+  builder_.add_link_mbps(link_mbps);
   builder_.add_report(report);
   builder_.add_target(target);
   return builder_.Finish();
@@ -613,6 +623,7 @@
     uint64_t configuration = 0,
     uint64_t store_revision = 0,
     uint64_t targets_digest = 0,
+    uint32_t link_mbps = 0,
     uint32_t store_age_ms = 4294967295) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   return Fescuenotch::MeshWire::CreatePulse(
@@ -623,6 +634,7 @@
       configuration,
       store_revision,
       targets_digest,
+      link_mbps,
       store_age_ms);
 }
 
--- a/tests/mesh/readerduty_test.cpp
+++ b/tests/mesh/readerduty_test.cpp
@@ -20,11 +20,17 @@
     DutyFixture()
     {
         for (const auto &host : hosts) {
-            duties[host] = std::make_unique<ReaderDuty>(host);
+            duties[host] = std::make_unique<ReaderDuty>(host, linkOf(host));
             watches[host] = true;
         }
     }
 
+    /// One host has a fast link.
+    static unsigned linkOf(const std::string &host)
+    {
+        return host == "127.1.0.4" ? 100 : 6;
+    }
+
     bool isIn(const std::vector<std::string> &list, const std::string &host) const
     {
         return std::find(list.begin(), list.end(), host) != list.end();
@@ -37,7 +43,7 @@
                 for (const auto &to : hosts) {
                     if (from != to && !isIn(dead, from) && !isIn(dead, to)) {
                         const bool fresh = watches[from] && !isIn(withoutStore, from);
-                        duties[to]->onPulse(now, from, fresh ? Duration(milliseconds(200)) : Duration::max());
+                        duties[to]->onPulse(now, from, linkOf(from), fresh ? Duration(milliseconds(200)) : Duration::max());
                     }
                 }
             }
@@ -63,10 +69,11 @@
 
 BOOST_FIXTURE_TEST_SUITE(ReaderDutyTest, DutyFixture)
 
-BOOST_AUTO_TEST_CASE(allHearEachOther_oneWatches)
+BOOST_AUTO_TEST_CASE(allHearEachOther_theOneWithTheFastestLinkWatches)
 {
     run(seconds(3));
-    BOOST_TEST(watching().size() == 1U);
+    BOOST_REQUIRE(watching().size() == 1U);
+    BOOST_TEST(watching().front() == "127.1.0.4");
 }
 
 BOOST_AUTO_TEST_CASE(readerDies_anotherTakesOverWithinTwoSeconds)
@@ -96,7 +103,7 @@
 
 BOOST_AUTO_TEST_CASE(alone_watches)
 {
-    ReaderDuty duty("127.1.0.9");
+    ReaderDuty duty("127.1.0.9", 100);
     BOOST_TEST(duty.shouldWatch(now, {"127.1.0.9"}));
 }
 
