--- a/src/forward/stateexchange.cpp
+++ b/src/forward/stateexchange.cpp
@@ -13,10 +13,8 @@
 
 } // namespace
 
-StateExchange::StateExchange(
-    EventLoop &loop, Worker &worker, const DeploymentSettings &settings, const TargetTable &targets, StateOwner &owner, MetricsRegistry &metrics)
-    : m_loop(loop)
-    , m_worker(worker)
+StateExchange::StateExchange(Worker &worker, const DeploymentSettings &settings, const TargetTable &targets, StateOwner &owner, MetricsRegistry &metrics)
+    : m_worker(worker)
     , m_settings(settings)
     , m_targets(targets)
     , m_owner(owner)
--- a/src/forward/stateexchange.h
+++ b/src/forward/stateexchange.h
@@ -35,7 +35,7 @@
 class StateExchange
 {
 public:
-    StateExchange(EventLoop &loop, Worker &worker, const DeploymentSettings &settings, const TargetTable &targets, StateOwner &owner, MetricsRegistry &metrics);
+    StateExchange(Worker &worker, const DeploymentSettings &settings, const TargetTable &targets, StateOwner &owner, MetricsRegistry &metrics);
 
     void setLinks(PeerLinks &links)
     {
@@ -57,7 +57,6 @@
     const PackedConfiguration &packedSince(std::uint64_t version);
     void takeConfiguration(const MeshWire::StateNews &news);
 
-    EventLoop &m_loop;
     Worker &m_worker;
     const DeploymentSettings &m_settings;
     const TargetTable &m_targets;
