--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr milliseconds DeadlineBackstop{100}; ///< ms; the exit node ends a request at its deadline, and its word (not run, mostly) needs this long on a slow link
+constexpr milliseconds DeadlineBackstop{
+    100}; ///< ms; the exit node ends a request at its deadline, and its word (not run, mostly) needs this long on a slow link
 constexpr milliseconds RetryAfterUnknown{250}; ///< ms; told when no exit node said when to come back
 constexpr milliseconds LeastRetryAfter{50}; ///< ms
 constexpr milliseconds NoConfigurationRetryAfter{500}; ///< ms; about the time that a new node takes to learn the configuration
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -16,7 +16,8 @@
  "services":[{"name":"desk","health_path":"/health","max_connections":130,"protocol":"h1","tls":false},{"name":"feed"}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}})";
 
-constexpr const char *Entry = R"({"service":"desk","address":"10.1.0.9:8080","zone":"one","version":"v1","max_concurrency":18,"state":"ready","cold_remaining":"1.5s","sequence":4,"born":1700000000000})";
+constexpr const char *Entry
+    = R"({"service":"desk","address":"10.1.0.9:8080","zone":"one","version":"v1","max_concurrency":18,"state":"ready","cold_remaining":"1.5s","sequence":4,"born":1700000000000})";
 
 constexpr const char *Settings = R"({"node_name":"n-1","ip":"10.1.0.35","zone":"one","region":"r","zones":{"one":"r"},"service":"desk",
  "listen_addrs":{"inbound":"10.1.0.35:8145","outbound":"10.1.0.35:8141","readiness_addr":"10.1.0.35:8140"},"app_addr":"10.1.0.35:8147","seeds":[],
@@ -110,7 +111,8 @@
     const StoreQuestion targets{StoreQuestion::Kind::Targets, "", 0, milliseconds(0)};
     const auto reply = valueOf([&] {
         return P::decodeReply(
-            targets, R"({"items":[{"key":"servers/bad","value":"###","revision":2},{"key":"servers/good","value":"YQ==","revision":3}],"has_more":true,"as_of":9})");
+            targets,
+            R"({"items":[{"key":"servers/bad","value":"###","revision":2},{"key":"servers/good","value":"YQ==","revision":3}],"has_more":true,"as_of":9})");
     });
     BOOST_TEST(reply.items.size() == 2U);
     BOOST_TEST(reply.more);
@@ -165,7 +167,12 @@
 BOOST_AUTO_TEST_CASE(decodeTarget_fromAnotherWriter_namesNoTarget)
 {
     const std::string whole = Entry;
-    for (const auto *part : {"\"service\":\"desk\",", "\"address\":\"10.1.0.9:8080\",", "\"zone\":\"one\",", "\"max_concurrency\":18,", "\"state\":\"ready\",", "\"sequence\":4,"}) {
+    for (const auto *part : {"\"service\":\"desk\",",
+                             "\"address\":\"10.1.0.9:8080\",",
+                             "\"zone\":\"one\",",
+                             "\"max_concurrency\":18,",
+                             "\"state\":\"ready\",",
+                             "\"sequence\":4,"}) {
         BOOST_TEST(entryIsRefused(without(whole, part)));
     }
     BOOST_TEST(entryIsRefused(without(whole, "\"ready\"", "\"resting\"")));
