--- a/src/forward/meshentry.cpp
+++ b/src/forward/meshentry.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr double ShareOfRepeats = 0.5; ///< of the allowed share; calls made by repeated requests count as repeats too
-constexpr double ShareOfSlack = 0.5; ///< of the fleet's slack; nodes don't know exactly how many they are
 constexpr std::size_t StatusClasses = 6; ///< 0xx to 5xx
 constexpr std::size_t MostServices = 4'096; ///< services whose targets are kept at hand
 
@@ -112,11 +110,8 @@
 
 void MeshEntry::onFleetSize(std::size_t nodes)
 {
-    RepeatSettings settings;
-    settings.budgetShare = m_parts.settings->repeatShare * ShareOfRepeats;
-    const double window = std::chrono::duration<double>(m_parts.settings->repeatWindow).count();
-    settings.budgetMinPerSecond = m_parts.settings->repeatSlack * ShareOfSlack / static_cast<double>(std::max<std::size_t>(1, nodes)) / window;
-    repeats.configure(settings);
+    const auto &allowed = *m_parts.settings;
+    repeats.configure(repeatSettingsFor(allowed.repeatShare, allowed.repeatSlack, allowed.repeatWindow, nodes));
 }
 
 } // namespace Fescuenotch
--- a/src/mesh/repeatpolicy.cpp
+++ b/src/mesh/repeatpolicy.cpp
@@ -1,9 +1,14 @@
 #include "mesh/repeatpolicy.h"
 
+#include <algorithm>
+
 namespace Fescuenotch {
 
 namespace {
 
+constexpr double LevelsOfCalls = 4; ///< a request, its calls and theirs; the fourth part is for repeats of repeats, which multiply
+constexpr double ShareOfSlack = 0.5; ///< of the fleet's slack; nodes don't know exactly how many they are
+
 bool mayRunTwice(const MeshRoute &route)
 {
     return route.kind != RouteKind::NotIdempotent;
@@ -11,6 +16,15 @@
 
 } // namespace
 
+RepeatSettings repeatSettingsFor(double share, double slack, Duration window, std::size_t nodes)
+{
+    RepeatSettings settings;
+    settings.budgetShare = share / LevelsOfCalls;
+    const double windowSeconds = std::chrono::duration<double>(window).count();
+    settings.budgetMinPerSecond = slack * ShareOfSlack / static_cast<double>(std::max<std::size_t>(1, nodes)) / windowSeconds;
+    return settings;
+}
+
 RepeatPolicy::RepeatPolicy(const RepeatSettings &settings)
     : m_settings(settings)
 {
--- a/src/mesh/repeatpolicy.h
+++ b/src/mesh/repeatpolicy.h
@@ -22,6 +22,11 @@
     Duration leastTime = milliseconds(10); ///< ms; with less time left nothing is tried again
 };
 
+/// This node's part of what the fleet may repeat: `share` of the requests and `slack` repeats in each `window`, over
+/// `nodes` nodes. Calls that a repeated request makes count as repeats of the services that it calls, so each level of
+/// calls gets a part of the share.
+RepeatSettings repeatSettingsFor(double share, double slack, Duration window, std::size_t nodes);
+
 /// How one sending of a request ended.
 struct SendEnd {
     Outcome outcome = Outcome::Unknown;
--- a/tests/mesh/repeatpolicy_test.cpp
+++ b/tests/mesh/repeatpolicy_test.cpp
@@ -91,6 +91,33 @@
     BOOST_TEST(repeats >= 50U);
 }
 
+/// Pattern: a service that others call turns away half of its requests. Requests that fail over it are repeated and make
+/// their calls again, and the calls are repeated too: together they stay within the fleet's share.
+BOOST_AUTO_TEST_CASE(next_callsTwoDeepAllFail_repeatsOfAllLevelsStayWithinTheShare)
+{
+    constexpr double Share = 0.2;
+    constexpr double Slack = 64;
+    constexpr int Requests = 6'000;
+    const auto settings = repeatSettingsFor(Share, Slack, seconds(10), 1);
+    RepeatPolicy top(settings);
+    RepeatPolicy called(settings);
+    RepeatPolicy deepest(settings);
+    route.maxAttempts = 2;
+    int arrivals = 0;
+    const auto fails = [&](RepeatPolicy &level, const std::string &service, const auto &run) {
+        level.onRequest(now, service);
+        RepeatState each;
+        do {
+            run();
+        } while (level.next(now, now + seconds(1), route, service, {Outcome::Unknown, Reason::TargetBroke, true, false, 0}, each) == NextStep::Repeat);
+    };
+    for (int n = 0; n < Requests; ++n) {
+        now += microseconds(10'000'000 / Requests);
+        fails(top, "desk", [&] { fails(called, "feed", [&] { fails(deepest, "archive", [&] { ++arrivals; }); }); });
+    }
+    BOOST_TEST(arrivals - Requests <= Share * Requests + Slack);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(RequestAgesTest)
--- a/tools/run_tests.sh
+++ b/tools/run_tests.sh
@@ -31,7 +31,9 @@
 for entry in "${red_names[@]:-}"; do
     [ -n "$entry" ] || continue
     program=${entry%%:*}
-    if timeout 900 "$build/$program" --run_test="${entry#*:}" > "$build/known-red.log" 2>&1; then
+    if [ ! -x "$build/$program" ]; then
+        echo "known red, not run here: $entry"
+    elif timeout 900 "$build/$program" --run_test="${entry#*:}" > "$build/known-red.log" 2>&1; then
         echo "known red, passed this time: $entry"
     else
         echo "known red, failed: $entry"
