One parser for both directions, one pulse for all links of a round, the targets' digest kept until they change

Found in reading the change again: the request and the answer parser were the same but for two functions; each pulse was encoded for each link, with a look over all links' backlog each time, so a round cost the square of the links; each pulse sent or heard hashed all targets. Functions that nobody called are gone. Behaviour is the same.

--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -360,11 +360,6 @@
         m_tcp->write(frame);
     }
 
-    void pulse(TimePoint now)
-    {
-        write(encodePulse(m_links.m_events.ownPulse(), now));
-    }
-
     bool needsPulse(TimePoint now) const
     {
         return m_greeted && now - m_lastWrite >= PulsePeriod;
@@ -535,7 +530,7 @@
         m_greeted = true;
         m_reader.allowLargeFrames();
         write(encodeGreeting(m_links.m_self, now));
-        pulse(now);
+        write(encodePulse(m_links.m_events.ownPulse(), now));
         if (const auto request = m_links.m_events.greetingRequest(); !request.empty()) {
             write(request);
         }
@@ -691,18 +686,11 @@
     linkTo(peer).write(frame);
 }
 
-void PeerLinks::sendToLinked(const std::string &frame)
-{
-    for (const auto &[key, link] : m_inbound) {
-        link->write(frame);
-    }
-}
-
 void PeerLinks::pulseNow()
 {
-    const auto now = m_loop.turnTime();
+    const auto frame = encodePulse(m_events.ownPulse(), m_loop.turnTime());
     for (const auto &[key, link] : m_inbound) {
-        link->pulse(now);
+        link->write(frame);
     }
 }
 
@@ -712,17 +700,6 @@
     return it != m_outbound.end() && it->second->isUp();
 }
 
-std::vector<Endpoint> PeerLinks::linkedPeers() const
-{
-    std::vector<Endpoint> peers;
-    for (const auto &[peer, link] : m_outbound) {
-        if (link->isUp()) {
-            peers.push_back(peer);
-        }
-    }
-    return peers;
-}
-
 void PeerLinks::endOutbound(OutboundLink &link)
 {
     auto node = m_outbound.extract(link.peer());
@@ -794,10 +771,15 @@
     for (auto *link : silent) {
         link->lose(CloseCause::TimedOut);
     }
+    std::string pulse; // the same for all that need one
     for (const auto &[key, link] : m_inbound) {
-        if (link->needsPulse(now)) {
-            link->pulse(now);
+        if (!link->needsPulse(now)) {
+            continue;
+        }
+        if (pulse.empty()) {
+            pulse = encodePulse(m_events.ownPulse(), now);
         }
+        link->write(pulse);
     }
 }
 
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -54,12 +54,9 @@
     void prepare(const Endpoint &peer);
     /// Sends a frame to a peer, opening the link if need be.
     void sendState(const Endpoint &peer, const std::string &frame);
-    /// Sends a frame to every node that is linked to this one.
-    void sendToLinked(const std::string &frame);
     /// Tells linked nodes at once that the target's report has changed much.
     void pulseNow();
     bool isUp(const Endpoint &peer) const;
-    std::vector<Endpoint> linkedPeers() const;
     const UplinkPacer &uplink() const
     {
         return m_pacer;
--- a/src/forward/targetconnection.h
+++ b/src/forward/targetconnection.h
@@ -70,10 +70,6 @@
     {
         return m_statedIdleLimit;
     }
-    bool isNew() const ///< no request was sent on it yet
-    {
-        return m_requests == 0;
-    }
 
 private:
     void onConnected() override;
--- a/src/http1/messagereader.cpp
+++ b/src/http1/messagereader.cpp
@@ -106,29 +106,34 @@
     }
 };
 
-class MessageReader::RequestParser final : public MessageReader::Parser, public http::basic_parser<true>
+/// One direction of Boost.Beast's parser.
+template<bool IsRequest>
+class MessageReader::DirectedParser final : public MessageReader::Parser, public http::basic_parser<IsRequest>
 {
+    using Basic = http::basic_parser<IsRequest>;
+
 public:
     std::size_t put(std::string_view bytes, ErrorCode &ec) override
     {
-        return putInto<http::basic_parser<true>>(*this, bytes, ec);
+        return putInto<Basic>(*this, bytes, ec);
     }
 
     void putEnd(ErrorCode &ec) override
     {
-        put_eof(ec);
+        this->put_eof(ec);
     }
 
     bool isDone() const override
     {
-        return is_done();
+        return this->is_done();
     }
 
     void fillHead(MessageHead &out) const override
     {
-        fillFraming(static_cast<const http::basic_parser<true> &>(*this), out);
-        if (!out.chunked && !out.length) {
-            out.length = 0;
+        fillFraming(static_cast<const Basic &>(*this), out);
+        out.endsWithConnection = this->need_eof();
+        if (this->is_done()) {
+            out.length = out.length.value_or(0);
         }
     }
 
@@ -140,75 +145,6 @@
         head->isHttp11 = version == 11;
     }
 
-    void on_response_impl(int, Text, int, ErrorCode &) override
-    {
-    }
-
-    void on_field_impl(http::field, Text name, Text value, ErrorCode &) override
-    {
-        takeField(name, value);
-    }
-
-    void on_header_impl(ErrorCode &) override
-    {
-        headDone = true;
-    }
-
-    void on_body_init_impl(boost::optional<std::uint64_t> const &, ErrorCode &) override
-    {
-    }
-
-    std::size_t on_body_impl(Text bytes, ErrorCode &) override
-    {
-        return takeBody(bytes);
-    }
-
-    void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override
-    {
-    }
-
-    std::size_t on_chunk_body_impl(std::uint64_t, Text bytes, ErrorCode &) override
-    {
-        return takeBody(bytes);
-    }
-
-    void on_finish_impl(ErrorCode &) override
-    {
-    }
-};
-
-class MessageReader::AnswerParser final : public MessageReader::Parser, public http::basic_parser<false>
-{
-public:
-    std::size_t put(std::string_view bytes, ErrorCode &ec) override
-    {
-        return putInto<http::basic_parser<false>>(*this, bytes, ec);
-    }
-
-    void putEnd(ErrorCode &ec) override
-    {
-        put_eof(ec);
-    }
-
-    bool isDone() const override
-    {
-        return is_done();
-    }
-
-    void fillHead(MessageHead &out) const override
-    {
-        fillFraming(static_cast<const http::basic_parser<false> &>(*this), out);
-        out.endsWithConnection = need_eof();
-        if (is_done()) {
-            out.length = out.length.value_or(0);
-        }
-    }
-
-private:
-    void on_request_impl(http::verb, Text, Text, int, ErrorCode &) override
-    {
-    }
-
     void on_response_impl(int code, Text, int version, ErrorCode &) override
     {
         head->status = static_cast<unsigned>(code);
@@ -267,11 +203,11 @@
         parser.body_limit(m_limits.maxBodyBytes);
     };
     if (m_kind == Kind::Request) {
-        auto parser = std::make_unique<RequestParser>();
+        auto parser = std::make_unique<DirectedParser<true>>();
         prepare(*parser);
         m_parser = std::move(parser);
     } else {
-        auto parser = std::make_unique<AnswerParser>();
+        auto parser = std::make_unique<DirectedParser<false>>();
         prepare(*parser);
         parser->skip(m_noBody);
         m_parser = std::move(parser);
--- a/src/http1/messagereader.h
+++ b/src/http1/messagereader.h
@@ -69,8 +69,8 @@
 
 private:
     class Parser;
-    class RequestParser;
-    class AnswerParser;
+    template<bool IsRequest>
+    class DirectedParser;
 
     void makeParser();
 
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -64,10 +64,6 @@
     {
         return m_output.size() - m_written;
     }
-    bool isConnected() const
-    {
-        return m_connected;
-    }
     bool isOpen() const
     {
         return m_fd >= 0;
--- a/src/mesh/targets.cpp
+++ b/src/mesh/targets.cpp
@@ -179,14 +179,18 @@
 
 std::uint64_t TargetTable::digest() const
 {
-    std::uint64_t sum = 0;
+    if (m_digestGeneration == m_generation) {
+        return m_digest; // every pulse asks for it
+    }
+    m_digest = 0;
     for (const auto &[id, entry] : m_entries) {
         if (entry.record) {
             // A sum does not depend on the order; draining targets count differently from ready ones.
-            sum += XXH64(id.data(), id.size(), entry.record->state == TargetState::Ready ? 1 : 2);
+            m_digest += XXH64(id.data(), id.size(), entry.record->state == TargetState::Ready ? 1 : 2);
         }
     }
-    return sum;
+    m_digestGeneration = m_generation;
+    return m_digest;
 }
 
 } // namespace Fescuenotch
--- a/src/mesh/targets.h
+++ b/src/mesh/targets.h
@@ -96,6 +96,8 @@
 
     std::map<std::string, Entry> m_entries; ///< by target id
     std::uint64_t m_generation = 0;
+    mutable std::uint64_t m_digest = 0; ///< as of m_digestGeneration
+    mutable std::uint64_t m_digestGeneration = 0;
 };
 
 } // namespace Fescuenotch
