State: one question for news is open at a time, near peers first

Cause: each node that linked to a starting one was asked for the whole state, so a node on a link of 6 Mbit/s drew 75 copies of some 50 KB and was cut off for five seconds; its peers' links were busy with them too. Ruled out: the store (it answered within 50 ms after the restart), the targets' cold start (lasts 3 s).

mesh/newsquestions decides whom to ask and when; tests/mesh/newsquestions_test.cpp replays the start. Every question is answered now, with nothing if need be, so the next one need not wait for a limit. A line state_told shows what was sent.

--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -391,9 +391,9 @@
     return pulse;
 }
 
-std::string MeshNode::greetingRequest()
+std::string MeshNode::greetingRequest(const LinkIdentity &peer)
 {
-    return m_state->greetingRequest();
+    return m_state->greetingRequest(m_loop.turnTime(), peer);
 }
 
 void MeshNode::onStateNews(const MeshWire::StateNews &news)
@@ -446,6 +446,7 @@
 
 void MeshNode::updateDuty(TimePoint now)
 {
+    m_state->tick(now);
     const bool watches = !m_store->follower().hasView() || m_state->shouldWatch(now);
     if (watches != m_store->isWatching()) {
         logEvent(LogLevel::Info, "store_duty").with("watches", boolText(watches)).with("store_revision", m_storeRevision);
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -61,7 +61,7 @@
     void onLinkLost(const Endpoint &peer, CloseCause cause) override;
     void onPulse(const Endpoint &peer, const LinkPulse &pulse) override;
     LinkPulse ownPulse() override;
-    std::string greetingRequest() override;
+    std::string greetingRequest(const LinkIdentity &peer) override;
     void onStateNews(const MeshWire::StateNews &news) override;
     std::string onStateRequest(const MeshWire::StateRequest &request) override;
 
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -360,6 +360,16 @@
         m_tcp->write(frame);
     }
 
+    bool isGreeted() const
+    {
+        return m_greeted;
+    }
+
+    const LinkIdentity &peer() const
+    {
+        return m_peer;
+    }
+
     bool needsPulse(TimePoint now) const
     {
         return m_greeted && now - m_lastWrite >= PulsePeriod;
@@ -531,7 +541,7 @@
         m_reader.allowLargeFrames();
         write(encodeGreeting(m_links.m_self, now));
         write(encodePulse(m_links.m_events.ownPulse(), now));
-        if (const auto request = m_links.m_events.greetingRequest(); !request.empty()) {
+        if (const auto request = m_links.m_events.greetingRequest(m_peer); !request.empty()) {
             write(request);
         }
         return {};
@@ -694,6 +704,17 @@
     }
 }
 
+void PeerLinks::askLinked(const std::function<std::string(const LinkIdentity &peer)> &question)
+{
+    for (const auto &[key, link] : m_inbound) {
+        const auto frame = link->isGreeted() ? question(link->peer()) : std::string();
+        if (!frame.empty()) {
+            link->write(frame);
+            return;
+        }
+    }
+}
+
 bool PeerLinks::isUp(const Endpoint &peer) const
 {
     const auto it = m_outbound.find(peer);
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -34,7 +34,7 @@
     virtual void onLinkLost(const Endpoint &peer, CloseCause cause) = 0;
     virtual void onPulse(const Endpoint &peer, const LinkPulse &pulse) = 0; ///< `peer` as it was linked to
     virtual LinkPulse ownPulse() = 0; ///< for the pulses of this node
-    virtual std::string greetingRequest() = 0; ///< a frame for a node that has just linked to this one; empty: none
+    virtual std::string greetingRequest(const LinkIdentity &peer) = 0; ///< a frame for a node that has just linked to this one; empty: none
     virtual void onStateNews(const MeshWire::StateNews &news) = 0;
     /// Gives the frame that answers; empty: nothing to tell.
     virtual std::string onStateRequest(const MeshWire::StateRequest &request) = 0;
@@ -54,6 +54,8 @@
     void prepare(const Endpoint &peer);
     /// Sends a frame to a peer, opening the link if need be.
     void sendState(const Endpoint &peer, const std::string &frame);
+    /// Offers the nodes that have linked to this one to `question`, until it gives a frame, and sends that.
+    void askLinked(const std::function<std::string(const LinkIdentity &peer)> &question);
     /// Tells linked nodes at once that the target's report has changed much.
     void pulseNow();
     bool isUp(const Endpoint &peer) const;
--- a/src/forward/stateexchange.cpp
+++ b/src/forward/stateexchange.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::size_t RecentConfigurations = 8; ///< bases of differences; some seconds of a storm of changes
-constexpr milliseconds AskPeriod{250}; ///< ms; between questions to peers, so that one change is not asked of many
 
 } // namespace
 
@@ -27,6 +26,7 @@
 
 void StateExchange::onInForce(const RoutingTablePtr &table)
 {
+    m_questions.onNothingLacking();
     m_packed.clear();
     m_recent.push_front(table);
     if (m_recent.size() > RecentConfigurations) {
@@ -48,27 +48,47 @@
     auto mark = ownMark();
     const bool newerConfiguration = pulse.configuration > mark.configuration && !m_unpacking;
     const bool otherTargets = pulse.storeRevision >= mark.storeRevision && pulse.targetsDigest != m_targets.digest();
-    if ((!newerConfiguration && !otherTargets) || (m_askedAt != TimePoint::min() && now - m_askedAt < AskPeriod)) {
+    if (!newerConfiguration && !otherTargets) {
+        return;
+    }
+    if (!m_questions.mayAsk(now, m_targets.isInDataCentre(peer.host, m_settings.dataCentre))) {
         return;
     }
     // News since the mark were not enough for this digest once: take the whole listing.
     mark.wantsAllTargets = mark.wantsAllTargets || (otherTargets && m_askedDigest == pulse.targetsDigest);
-    m_askedAt = now;
+    m_questions.onAsked(now, peer.host);
     m_askedDigest = otherTargets ? pulse.targetsDigest : 0;
     m_asked.add();
     m_links->sendState(peer, encodeStateRequest(mark));
 }
 
-std::string StateExchange::greetingRequest() const
+bool StateExchange::lacksAll() const
 {
+    return m_owner.tableInForce() == nullptr || !m_owner.hasTargets();
+}
+
+std::string StateExchange::greetingRequest(TimePoint now, const LinkIdentity &peer)
+{
+    if (!lacksAll() || !m_questions.mayAsk(now, peer.dataCentre == m_settings.dataCentre)) {
+        return {};
+    }
+    m_questions.onAsked(now, peer.host);
+    m_asked.add();
     const auto mark = ownMark();
-    const bool lacksAll = mark.configuration == 0 || mark.wantsAllTargets;
-    return lacksAll ? encodeStateRequest({mark.configuration, mark.storeRevision, true}) : std::string();
+    return encodeStateRequest({mark.configuration, mark.storeRevision, true});
+}
+
+void StateExchange::tick(TimePoint now)
+{
+    if (lacksAll()) {
+        m_links->askLinked([this, now](const LinkIdentity &peer) { return greetingRequest(now, peer); });
+    }
 }
 
 void StateExchange::onLinkLost(const Endpoint &peer)
 {
     m_duty.onGone(peer.host);
+    m_questions.onPeerGone(peer.host);
 }
 
 // ---- [answering] ------------------------------------------------------------------------------------------------
@@ -94,12 +114,16 @@
     const auto targets = !m_owner.hasTargets() ? std::vector<TargetNews>()
         : mark.wantsAllTargets                 ? m_targets.allNews()
                                                : m_targets.newsAfter(mark.storeRevision);
-    if (!tellsConfiguration && targets.empty()) {
-        return {};
-    }
+    // An empty answer is sent too: the asker then asks another node at once.
     auto frame = encodeStateNews(tellsConfiguration ? &packedSince(mark.configuration) : nullptr, targets, mark.wantsAllTargets, m_owner.storeRevision());
     m_told.add();
     m_toldBytes.add(frame.size());
+    logEvent(LogLevel::Info, "state_told")
+        .with("bytes", frame.size())
+        .with("configuration", tellsConfiguration ? table->version() : 0)
+        .with("since", mark.configuration)
+        .with("targets", targets.size())
+        .with("whole", mark.wantsAllTargets ? 1 : 0);
     return frame;
 }
 
@@ -107,6 +131,7 @@
 
 void StateExchange::onNews(const MeshWire::StateNews &news)
 {
+    m_questions.onAnswered();
     const auto targets = decodeTargetNews(news);
     if (!targets.empty()) {
         m_owner.takeTargetNews(targets, news.store_revision(), news.all_targets(), "peer");
--- a/src/forward/stateexchange.h
+++ b/src/forward/stateexchange.h
@@ -2,7 +2,7 @@
 // store.
 //
 // Every pulse of a peer carries the version of its configuration and a digest of its targets. A node that lacks
-// something asks that peer and gets the difference. One node of each data centre watches the store (mesh/readerduty.h);
+// something asks one of them (mesh/newsquestions.h) and gets the difference. One node of each data centre watches the store (mesh/readerduty.h);
 // a change reaches the others within a pulse and a question. A node that starts while the store is away learns all from
 // the first peer that links to it.
 //
@@ -13,6 +13,7 @@
 #include "forward/peerlinks.h"
 #include "forward/statecodec.h"
 #include "loop/worker.h"
+#include "mesh/newsquestions.h"
 #include "mesh/readerduty.h"
 
 #include <deque>
@@ -46,7 +47,9 @@
     void onPulse(TimePoint now, const Endpoint &peer, const LinkPulse &pulse);
     void onLinkLost(const Endpoint &peer);
     /// What to ask a node that has just linked to this one; empty: nothing.
-    std::string greetingRequest() const;
+    std::string greetingRequest(TimePoint now, const LinkIdentity &peer);
+    /// Asks a linked node if this one still knows nothing and no question is open.
+    void tick(TimePoint now);
     std::string onRequest(const MeshWire::StateRequest &request);
     void onNews(const MeshWire::StateNews &news);
     /// Whether this node watches the store.
@@ -54,6 +57,7 @@
 
 private:
     StateMark ownMark() const;
+    bool lacksAll() const; ///< has no configuration or no targets yet
     const PackedConfiguration &packedSince(std::uint64_t version);
     void takeConfiguration(const MeshWire::StateNews &news);
 
@@ -65,7 +69,7 @@
     ReaderDuty m_duty;
     std::deque<RoutingTablePtr> m_recent; ///< configurations that were in force, newest first
     std::map<std::uint64_t, PackedConfiguration> m_packed; ///< of the newest, by the version that it is a difference from
-    TimePoint m_askedAt = TimePoint::min();
+    NewsQuestions m_questions;
     std::uint64_t m_askedDigest = 0; ///< of the peer that was asked last
     bool m_unpacking = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/mesh/newsquestions.cpp
@@ -0,0 +1,48 @@
+#include "mesh/newsquestions.h"
+
+#include <algorithm>
+
+namespace Fescuenotch {
+
+NewsQuestions::NewsQuestions(const NewsQuestionsSettings &settings)
+    : m_settings(settings)
+    , m_limit(settings.answerLimit)
+{
+}
+
+bool NewsQuestions::mayAsk(TimePoint now, bool isNear)
+{
+    m_lackingSince = std::min(m_lackingSince, now);
+    const auto pause = m_askedHost.empty() ? m_settings.leastPeriod : m_limit;
+    const bool askedLately = m_askedAt != TimePoint::min() && now - m_askedAt < pause;
+    const bool waitsForNearPeers = !isNear && now - m_lackingSince < m_settings.otherDataCentreAfter;
+    return !askedLately && !waitsForNearPeers;
+}
+
+void NewsQuestions::onAsked(TimePoint now, const std::string &host)
+{
+    const bool lastOneUnanswered = !m_askedHost.empty();
+    m_limit = lastOneUnanswered ? std::min(m_limit * 2, m_settings.longestAnswerLimit) : m_settings.answerLimit;
+    m_askedHost = host;
+    m_askedAt = now;
+}
+
+void NewsQuestions::onAnswered()
+{
+    m_askedHost.clear();
+    onNothingLacking();
+}
+
+void NewsQuestions::onPeerGone(const std::string &host)
+{
+    if (host == m_askedHost) {
+        m_askedHost.clear();
+    }
+}
+
+void NewsQuestions::onNothingLacking()
+{
+    m_lackingSince = TimePoint::max();
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/mesh/newsquestions.h
@@ -0,0 +1,47 @@
+// When a node asks a peer for what it lacks of the platform's state, and which peers it asks.
+//
+// Patterns answered: a node that starts and to which every other node links at once; a change that all peers tell within
+// the same pulse. A whole state is some 50 KB, so a node on a link of 6 Mbit/s that asked each of 75 peers would be cut
+// off for five seconds by the answers, and each peer would pay for one of them. One question is open at a time.
+//
+// Peers of the own data centre are asked first: traffic between data centres is paid for, and a link across is longer.
+// Peers elsewhere are asked once the news are `otherDataCentreAfter` old and nobody near has told them.
+//
+// How to use: `mayAsk` when a peer may have news, then `onAsked`; `onAnswered` for each answer, also for an empty one;
+// `onNothingLacking` when news came another way; `onPeerGone` when the peer that was asked is lost.
+// Pitfall: a peer that answers slowly is not asked again, another one is. Its answer is still welcome when it comes.
+#pragma once
+
+#include "kernel/clock.h"
+
+#include <string>
+
+namespace Fescuenotch {
+
+struct NewsQuestionsSettings {
+    milliseconds answerLimit{500}; ///< ms; a whole state needs 70 ms on a link of 6 Mbit/s, and its peer sends other answers too
+    milliseconds longestAnswerLimit{4'000}; ///< ms; doubled up to this with each question that got no answer in time
+    milliseconds leastPeriod{250}; ///< ms; between questions, so that views that differ for a moment are not asked for over and over
+    milliseconds otherDataCentreAfter{300}; ///< ms; below a pulse's period, within which a near peer tells
+};
+
+class NewsQuestions
+{
+public:
+    explicit NewsQuestions(const NewsQuestionsSettings &settings = {});
+    /// `isNear`: the peer is in the own data centre.
+    bool mayAsk(TimePoint now, bool isNear);
+    void onAsked(TimePoint now, const std::string &host);
+    void onAnswered();
+    void onPeerGone(const std::string &host);
+    void onNothingLacking();
+
+private:
+    NewsQuestionsSettings m_settings;
+    milliseconds m_limit; ///< ms; for the question that is open
+    std::string m_askedHost; ///< empty: no question is open
+    TimePoint m_askedAt = TimePoint::min(); ///< of the last question
+    TimePoint m_lackingSince = TimePoint::max(); ///< max: nothing is known to be lacking
+};
+
+} // namespace Fescuenotch
--- a/src/mesh/targets.cpp
+++ b/src/mesh/targets.cpp
@@ -161,6 +161,14 @@
     return best;
 }
 
+bool TargetTable::isInDataCentre(const std::string &host, const std::string &dataCentre) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &each) {
+        const auto &record = each.second.record;
+        return record && record->address.host == host && record->dataCentre == dataCentre;
+    });
+}
+
 std::size_t TargetTable::size() const
 {
     return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [](const auto &each) { return each.second.record.has_value(); }));
--- a/src/mesh/targets.h
+++ b/src/mesh/targets.h
@@ -66,6 +66,8 @@
     const TargetRecord *find(const std::string &id) const; ///< null when it is not listed
     /// The listed target at an address; the latest started when several claim it.
     const TargetRecord *atAddress(const Endpoint &address) const;
+    /// Whether a listed target on this host is in that data centre.
+    bool isInDataCentre(const std::string &host, const std::string &dataCentre) const;
     std::size_t size() const;
     /// Latest news of every id, removals of the last minutes too, for a peer that has not heard them. Removals that are
     /// held back are left out until they are carried out.
--- /dev/null
+++ b/tests/mesh/newsquestions_test.cpp
@@ -0,0 +1,122 @@
+#include "mesh/newsquestions.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace Fescuenotch;
+
+namespace {
+
+constexpr std::size_t Peers = 75;
+constexpr double StateBytes = 50'000; ///< bytes; configuration and targets of some 80 hosts, compressed
+constexpr double LinkBytesPerSecond = 6e6 / 8; ///< bytes/s; the slowest hosts
+constexpr milliseconds PulseEach{400};
+
+/// A node that has just started on a slow link; all peers link to it within a moment and pulse from then on.
+struct StartFixture {
+    TimePoint now = TimePoint(seconds(1'000));
+    NewsQuestions questions;
+    std::vector<TimePoint> answersDue; ///< when the last byte of each answer is here
+    TimePoint linkFreeAt = now;
+    unsigned asked = 0;
+
+    bool ask(std::size_t peer, bool isNear)
+    {
+        if (!questions.mayAsk(now, isNear)) {
+            return false;
+        }
+        questions.onAsked(now, "127.1.0." + std::to_string(peer));
+        ++asked;
+        linkFreeAt = std::max(linkFreeAt, now) + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(StateBytes / LinkBytesPerSecond));
+        answersDue.push_back(linkFreeAt);
+        return true;
+    }
+
+    /// Every peer tells that it has news, again and again, until the first answer is here. Gives the time that took.
+    Duration learn()
+    {
+        const auto begin = now;
+        for (; now - begin < seconds(10); now += milliseconds(1)) {
+            if (!answersDue.empty() && now >= answersDue.front()) {
+                questions.onAnswered();
+                return now - begin;
+            }
+            const auto sincePulse = std::chrono::duration_cast<milliseconds>(now - begin).count() % PulseEach.count();
+            for (std::size_t peer = 0; sincePulse == 0 && peer < Peers; ++peer) {
+                ask(peer, peer % 3 == 0);
+            }
+        }
+        return now - begin;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(NewsQuestionsSuite, StartFixture)
+
+BOOST_AUTO_TEST_CASE(startingNode_allPeersLinkAtOnce_oneIsAsked)
+{
+    const auto took = learn();
+    BOOST_TEST(asked == 1);
+    BOOST_TEST(std::chrono::duration<double>(took).count() < 0.2);
+}
+
+BOOST_AUTO_TEST_CASE(openQuestion_noAnswerInTime_anotherIsAskedAndTheLimitDoubles)
+{
+    BOOST_TEST(ask(1, true));
+    now += milliseconds(499);
+    BOOST_TEST(!ask(2, true));
+    now += milliseconds(1);
+    BOOST_TEST(ask(2, true));
+    now += milliseconds(999);
+    BOOST_TEST(!ask(3, true));
+    now += milliseconds(1);
+    BOOST_TEST(ask(3, true));
+}
+
+BOOST_AUTO_TEST_CASE(openQuestion_peerLost_anotherIsAskedAfterThePeriod)
+{
+    BOOST_TEST(ask(1, true));
+    questions.onPeerGone("127.1.0.2");
+    now += milliseconds(250);
+    BOOST_TEST(!ask(3, true));
+    questions.onPeerGone("127.1.0.1");
+    BOOST_TEST(ask(3, true));
+}
+
+BOOST_AUTO_TEST_CASE(answeredQuestion_viewsStillDiffer_nextOneWaitsForThePeriod)
+{
+    BOOST_TEST(ask(1, true));
+    questions.onAnswered();
+    now += milliseconds(249);
+    BOOST_TEST(!ask(2, true));
+    now += milliseconds(1);
+    BOOST_TEST(ask(2, true));
+}
+
+BOOST_AUTO_TEST_CASE(peerElsewhere_newsAreFresh_nearOnesGoFirst)
+{
+    BOOST_TEST(!ask(1, false));
+    now += milliseconds(299);
+    BOOST_TEST(!ask(1, false));
+    BOOST_TEST(ask(2, true));
+}
+
+BOOST_AUTO_TEST_CASE(peerElsewhere_nobodyNearTellsTheNews_isAsked)
+{
+    BOOST_TEST(!ask(1, false));
+    now += milliseconds(300);
+    BOOST_TEST(ask(1, false));
+}
+
+BOOST_AUTO_TEST_CASE(peerElsewhere_newsCameAnotherWay_waitsAnew)
+{
+    BOOST_TEST(!ask(1, false));
+    questions.onNothingLacking();
+    now += milliseconds(300);
+    BOOST_TEST(!ask(1, false));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
