State: a starting node lets its peers bring the configuration before it reads the store's copy

Cause: each restart read the whole configuration from the store, some 400 KB, half a second of a link of 6 Mbit/s, though its peers have it in 50 KB; and every node read the store until its own listing had ended, peers or not. Ruled out: fewer listings; a node that knows no target has no peers to ask.

After its first listing a node waits as long as its own reading would take on its link. Nodes that know all from peers make no calls unless they have the watch. They link to all targets as soon as they know them.

--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds QuietBeforeExit{300}; ///< ms without a new request before the process ends
 constexpr double AcceptShareOfStop = 0.45; ///< of the time until SIGKILL; what is taken by then has as long again to finish
 constexpr milliseconds StopMargin{700}; ///< ms before SIGKILL at which the process ends whatever runs
+constexpr double TypicalConfigurationBytes = 512 * 1024; ///< bytes; some three thousand routes, as the store sends them
 constexpr std::size_t MostPreparedLinks = 128; ///< links opened ahead of use; more targets are linked when chosen
 
 std::uint64_t newIncarnation()
@@ -30,6 +31,14 @@
     return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
+/// Time that a link of `mbps` needs for so many bytes.
+milliseconds timeToRead(double bytes, double mbps)
+{
+    constexpr double BitsPerByte = 8;
+    constexpr double BitsPerMillisecond = 1'000; // of one Mbit/s
+    return milliseconds(static_cast<milliseconds::rep>(bytes * BitsPerByte / (mbps * BitsPerMillisecond)));
+}
+
 const char *boolText(bool value)
 {
     return value ? "yes" : "no";
@@ -122,6 +131,7 @@
     StoreFollowerSettings store;
     store.seed = m_incarnation;
     store.entriesLapseAfter = m_settings.heartbeat * 2;
+    store.peersFirst = timeToRead(TypicalConfigurationBytes, m_settings.linkMbps);
     m_store = std::make_unique<StoreClient>(m_loop, *m_worker, m_settings.store, *m_adapter, store, *this, metrics);
 }
 
@@ -309,6 +319,7 @@
             noteChange(change, "store");
         }
         m_hasTargets = true;
+        prepareLinks();
     }
     if (m_targets.digest() != digestBefore) {
         m_links->pulseNow(); // the others wait for it
@@ -440,14 +451,19 @@
         }
     }
     m_storeRevision = std::max(m_storeRevision, revision);
+    const bool first = !m_hasTargets;
     m_hasTargets = true;
     onTargetsChanged();
+    if (first) {
+        prepareLinks();
+    }
 }
 
 void MeshNode::updateDuty(TimePoint now)
 {
     m_state->tick(now);
-    const bool watches = !m_store->follower().hasView() || m_state->shouldWatch(now);
+    const bool hasView = m_entry->table() != nullptr && m_hasTargets;
+    const bool watches = !hasView || m_state->shouldWatch(now);
     if (watches != m_store->isWatching()) {
         logEvent(LogLevel::Info, "store_duty").with("watches", boolText(watches)).with("store_revision", m_storeRevision);
         m_store->setWatching(watches);
--- a/src/forward/storeclient.cpp
+++ b/src/forward/storeclient.cpp
@@ -92,12 +92,11 @@
     if (m_stopped || m_question || m_decoding) {
         return;
     }
-    const auto now = m_loop.now();
-    m_question = m_follower.next(now);
-    if (m_question && m_question->kind == StoreQuestion::Kind::Watch && !m_watching) {
-        m_question.reset();
+    if (!m_watching) {
         return; // `setWatching` asks again
     }
+    const auto now = m_loop.now();
+    m_question = m_follower.next(now);
     if (!m_question) {
         m_nextTimer.start(m_loop.timers(), m_follower.nextAt() - now, [this](TimePoint) { askNext(); });
         return;
--- a/src/forward/storeclient.h
+++ b/src/forward/storeclient.h
@@ -34,7 +34,7 @@
     ~StoreClient() override;
     void start();
     void stop();
-    /// False: after the first reading no more calls are made, since peers tell what changes.
+    /// False: no more calls are made, since peers tell what changes.
     void setWatching(bool watching);
     bool isWatching() const
     {
--- a/src/mesh/storefollower.cpp
+++ b/src/mesh/storefollower.cpp
@@ -64,6 +64,7 @@
         update.listingEnds = true;
         update.listing.swap(m_listing);
         update.revision = m_watchFrom;
+        m_nextAt = m_listedOnce ? now : now + m_settings.peersFirst;
         m_listedOnce = true;
         m_question = {StoreQuestion::Kind::Configuration, "", 0, milliseconds(0)};
         break;
--- a/src/mesh/storefollower.h
+++ b/src/mesh/storefollower.h
@@ -64,6 +64,7 @@
     milliseconds pauseAfterNews{100}; ///< ms; news that follow each other closely share a call
     milliseconds firstRetry{100}; ///< ms
     milliseconds longestRetry{1'000}; ///< ms; well below the two seconds in which a removal must be heard of
+    milliseconds peersFirst{0}; ///< ms; after the first listing peers have so long to bring the configuration
     milliseconds entriesLapseAfter{2'000}; ///< ms; absences shorter than this let no entry lapse
     milliseconds heldAfterReturn{2'200}; ///< ms; removals wait this long after the store's return
     std::uint64_t seed = 0;
@@ -90,11 +91,6 @@
     }
     /// How old the view is: time since the last answer. Duration::max() before the first.
     Duration age(TimePoint now) const;
-    /// Everything was read once.
-    bool hasView() const
-    {
-        return m_listedOnce;
-    }
     TimePoint removalsHeldUntil() const
     {
         return m_heldUntil;
--- a/tests/mesh/storefollower_test.cpp
+++ b/tests/mesh/storefollower_test.cpp
@@ -49,6 +49,29 @@
     BOOST_TEST(watch.afterRevision == 10U);
 }
 
+/// Pattern: a node on a slow link starts; its peers have the configuration, compressed.
+BOOST_AUTO_TEST_CASE(start_peersMayBringTheConfiguration_isAskedForOnlyAfterThat)
+{
+    StoreFollowerSettings settings;
+    settings.peersFirst = milliseconds(700);
+    follower = StoreFollower(settings);
+    follower.onReply(now, ask(), reply(10));
+    BOOST_TEST(!follower.next(now + milliseconds(699)).has_value());
+    BOOST_TEST((follower.next(now + milliseconds(700)).value().kind == StoreQuestion::Kind::Configuration));
+}
+
+/// Pattern: the same node takes over the watch later. What it has may be old, so it reads the store at once.
+BOOST_AUTO_TEST_CASE(startOver_afterTheFirstListing_configurationIsReadAtOnce)
+{
+    StoreFollowerSettings settings;
+    settings.peersFirst = milliseconds(700);
+    follower = StoreFollower(settings);
+    readAll();
+    follower.startOver();
+    follower.onReply(now, ask(), reply(20));
+    BOOST_TEST((follower.next(now).value().kind == StoreQuestion::Kind::Configuration));
+}
+
 /// The configuration is written for the first time between two calls of a node that starts.
 BOOST_AUTO_TEST_CASE(start_configurationWrittenJustAfterItWasAskedFor_isBroughtByTheWatch)
 {
