--- a/src/mesh/targetpicker.cpp
+++ b/src/mesh/targetpicker.cpp
@@ -91,10 +91,13 @@
     return isLarge ? way + secondsOf(report.carryWait) + kib * secondsOf(report.carryPerKib) : way;
 }
 
-/// What the bytes between data centres weigh, as seconds.
-double TargetPicker::bytesAcross(const TargetRecord &target, const PickRequest &request) const
+/// What traffic between data centres weighs, as seconds.
+double TargetPicker::acrossSurcharge(const TargetRecord &target, const PickRequest &request, double goal) const
 {
-    return target.dataCentre == m_settings.dataCentre ? 0 : answerKib(request) * secondsOf(m_settings.perKibAcross);
+    if (target.dataCentre == m_settings.dataCentre) {
+        return 0;
+    }
+    return goal * m_settings.acrossShareOfGoal + answerKib(request) * secondsOf(m_settings.perKibAcross);
 }
 
 double TargetPicker::costOf(TimePoint now, const TargetRecord &target, const PickRequest &request, double usual) const
@@ -109,7 +112,7 @@
     const double time = service + waitOf(now, target, knowledge, service) + carryTime(target, request, knowledge.report);
     const double goal = std::max(secondsOf(request.timeToGoal), service);
     const double failed = std::max(knowledge.failedShare, knowledge.report.failedShare);
-    double cost = time + failed * FailureSurcharge * goal + bytesAcross(target, request);
+    double cost = time + failed * FailureSurcharge * goal + acrossSurcharge(target, request, goal);
     if (time > goal) {
         cost += LateSurcharge * goal;
     }
--- a/src/mesh/targetpicker.h
+++ b/src/mesh/targetpicker.h
@@ -43,6 +43,7 @@
     milliseconds avoidUnreachable{1'000}; ///< ms; a host that could not be reached is left out this long
     milliseconds avoidNotThere{3'000}; ///< ms; a lifetime that has ended is left out this long; its entry lapses meanwhile
     milliseconds otherDataCentre{2}; ///< ms; cost of the way to another data centre and back
+    double acrossShareOfGoal = 0.15; ///< of the time to the goal; a request leaves its data centre only if it gains more than this
     Duration perKibAcross = milliseconds(4); ///< ms a KiB; traffic between data centres is paid for: a download stays unless that costs its goal
     double nearCheapest = 1.1; ///< targets within this factor of the cheapest are drawn from
     std::size_t mostCompared = 24; ///< targets looked at for one request; more are sampled
@@ -86,7 +87,7 @@
 
     double answerKib(const PickRequest &request) const;
     double carryTime(const TargetRecord &target, const PickRequest &request, const TargetReport &report) const;
-    double bytesAcross(const TargetRecord &target, const PickRequest &request) const;
+    double acrossSurcharge(const TargetRecord &target, const PickRequest &request, double goal) const;
     double costOf(TimePoint now, const TargetRecord &target, const PickRequest &request, double usualService) const;
     double waitOf(TimePoint now, const TargetRecord &target, const Knowledge &knowledge, double service) const;
     double usualService(const std::vector<TargetRecord> &candidates) const;
--- a/tests/mesh/targetpicker_test.cpp
+++ b/tests/mesh/targetpicker_test.cpp
@@ -143,6 +143,28 @@
     BOOST_TEST(chooseMany(picker, 20)["two0"] == 20U);
 }
 
+/// Pattern: two data centres with the same load and targets of different speed. Small answers stay at home too, as long as
+/// that costs no goal; a slow target at home does not keep them.
+BOOST_AUTO_TEST_CASE(choose_smallAnswersAndSameLoadEverywhere_stayInTheOwnDataCentre)
+{
+    addTargets("one", 4);
+    addTargets("two", 4);
+    request.timeToGoal = milliseconds(300);
+    auto picker = makePicker();
+    for (unsigned n = 0; n < targets.size(); ++n) {
+        picker.onReport(now, targets[n].id, report(n % 4, milliseconds(100 + 5 * (n % 4))));
+    }
+    for (const auto &[id, count] : chooseMany(picker, 100)) {
+        BOOST_TEST(id.substr(0, 3) == "one");
+    }
+    for (unsigned n = 0; n < 4; ++n) {
+        picker.onReport(now, targets[n].id, report(8, milliseconds(250)));
+    }
+    for (const auto &[id, count] : chooseMany(picker, 100)) {
+        BOOST_TEST(id.substr(0, 3) == "two");
+    }
+}
+
 /// Pattern: downloads on slow links. A target whose host's link is busy with others is left alone; its small answers are not.
 BOOST_AUTO_TEST_CASE(choose_linkOfOneHostIsBusy_largeAnswersGoElsewhereAndSmallOnesDont)
 {
