Links: resting ones across data centres carry beats, and a pulse only each 1.2 s

Cause: each node sent a pulse of some 180 bytes to each of 75 peers 2.5 times a second, two thirds of them across data centres, most over links without a request for seconds now that requests stay in their data centre.

--- a/src/forward/linkcodec.cpp
+++ b/src/forward/linkcodec.cpp
@@ -184,6 +184,12 @@
         fbb, MeshWire::CreatePulse(fbb, clockValue(now), target, report, pulse.configuration, pulse.storeRevision, pulse.targetsDigest, pulse.linkMbps, ageMs));
 }
 
+std::string encodeBeat(TimePoint now)
+{
+    Builder fbb(SmallFrameBytes);
+    return finish(fbb, MeshWire::CreateBeat(fbb, clockValue(now)));
+}
+
 std::string encodeOpen(std::uint64_t stream, const ForwardRequest &request, TimePoint now)
 {
     Builder fbb(SmallFrameBytes + request.body.size());
--- a/src/forward/linkcodec.h
+++ b/src/forward/linkcodec.h
@@ -66,6 +66,7 @@
 
 std::string encodeGreeting(const LinkIdentity &self, TimePoint now);
 std::string encodePulse(const LinkPulse &pulse, TimePoint now);
+std::string encodeBeat(TimePoint now);
 std::string encodeOpen(std::uint64_t stream, const ForwardRequest &request, TimePoint now);
 std::string encodeRequestBody(std::uint64_t stream, std::string_view bytes, bool last);
 std::string encodeForwardAnswer(std::uint64_t stream, const ForwardAnswer &answer);
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -370,11 +370,25 @@
         return m_peer;
     }
 
-    bool needsPulse(TimePoint now) const
+    void writePulse(const std::string &frame)
+    {
+        write(frame);
+        m_lastPulse = m_lastWrite;
+    }
+
+    bool isDue(TimePoint now) const
     {
         return m_greeted && now - m_lastWrite >= PulsePeriod;
     }
 
+    /// A bare beat will do.
+    bool rests(TimePoint now) const
+    {
+        const bool isAcross = m_peer.dataCentre != m_links.m_self.dataCentre;
+        const bool isUsed = !m_exchanges.empty() || now - m_lastExchange < RestsAfter;
+        return isAcross && !isUsed && now - m_lastPulse < RestingPulsePeriod;
+    }
+
     /// Bytes of the large answer that has the least left and may go on; 0 without any.
     std::size_t leastLargeLeft() const
     {
@@ -540,7 +554,7 @@
         m_greeted = true;
         m_reader.allowLargeFrames();
         write(encodeGreeting(m_links.m_self, now));
-        write(encodePulse(m_links.m_events.ownPulse(), now));
+        writePulse(encodePulse(m_links.m_events.ownPulse(), now));
         if (const auto request = m_links.m_events.greetingRequest(m_peer); !request.empty()) {
             write(request);
         }
@@ -550,6 +564,7 @@
     void open(const MeshWire::Open &open, TimePoint now)
     {
         const auto id = open.stream();
+        m_lastExchange = now;
         auto &exchange = *m_exchanges.insert_or_assign(id, std::make_unique<Exchange>(*this, id)).first->second;
         exchange.stream = m_links.m_gate.open(decodeOpen(open, now, m_offset.timeOnTheWay(open.sent_at(), now)), exchange);
     }
@@ -633,6 +648,8 @@
     ClockOffset m_offset;
     bool m_greeted = false;
     TimePoint m_lastWrite;
+    TimePoint m_lastPulse;
+    TimePoint m_lastExchange;
     Exchanges m_exchanges; ///< by stream
 };
 
@@ -700,7 +717,7 @@
 {
     const auto frame = encodePulse(m_events.ownPulse(), m_loop.turnTime());
     for (const auto &[key, link] : m_inbound) {
-        link->write(frame);
+        link->writePulse(frame);
     }
 }
 
@@ -792,15 +809,20 @@
     for (auto *link : silent) {
         link->lose(CloseCause::TimedOut);
     }
+    const auto beat = encodeBeat(now);
     std::string pulse; // the same for all that need one
     for (const auto &[key, link] : m_inbound) {
-        if (!link->needsPulse(now)) {
+        if (!link->isDue(now)) {
+            continue;
+        }
+        if (link->rests(now)) {
+            link->write(beat);
             continue;
         }
         if (pulse.empty()) {
             pulse = encodePulse(m_events.ownPulse(), now);
         }
-        link->write(pulse);
+        link->writePulse(pulse);
     }
 }
 
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -2,7 +2,8 @@
 //
 // One TCP connection from each entry node to each exit node that it sends to; many requests share it. The exit node
 // sends a pulse with its target's report at least each `PulsePeriod`, so that a link that went silent without a reset is
-// found within `SilenceLimit`. A lost link ends its requests: as not run those whose bytes never left, as unknown the
+// found within `SilenceLimit`. A link to another data centre that carries no requests gets a bare beat instead and a
+// pulse each `RestingPulsePeriod`: most links of a large fleet rest, and traffic between data centres is paid for. A lost link ends its requests: as not run those whose bytes never left, as unknown the
 // others. The next request opens a new link.
 //
 // How to use: `listen` once; `open` a request to a peer; `pulseNow` at a stop, so that peers hear of it at once.
@@ -22,6 +23,8 @@
 namespace Fescuenotch {
 
 constexpr milliseconds PulsePeriod{400}; ///< ms; three of them fit into the time in which a lost peer must be found
+constexpr milliseconds RestingPulsePeriod{1'200}; ///< ms; below the age at which a report counts for little
+constexpr milliseconds RestsAfter{2'000}; ///< ms without a request after which a link rests
 constexpr milliseconds SilenceLimit{1'300}; ///< ms; a link that gave nothing for so long is lost
 constexpr milliseconds LinkConnectLimit{600}; ///< ms; far above the way between data centres of a region
 constexpr milliseconds UnusedLinkLimit{60'000}; ///< ms; a link that carried no request for so long is closed
--- a/src/wire/mesh_generated.h
+++ b/src/wire/mesh_generated.h
@@ -29,6 +29,9 @@
 struct Pulse;
 struct PulseBuilder;
 
+struct Beat;
+struct BeatBuilder;
+
 struct Open;
 struct OpenBuilder;
 
@@ -123,11 +126,12 @@
   Cancel = 9,
   StateNews = 10,
   StateRequest = 11,
+  Beat = 12,
   MIN = NONE,
-  MAX = StateRequest
+  MAX = Beat
 };
 
-inline const LinkMessage (&EnumValuesLinkMessage())[12] {
+inline const LinkMessage (&EnumValuesLinkMessage())[13] {
   static const LinkMessage values[] = {
     LinkMessage::NONE,
     LinkMessage::Greeting,
@@ -140,13 +144,14 @@
     LinkMessage::Credit,
     LinkMessage::Cancel,
     LinkMessage::StateNews,
-    LinkMessage::StateRequest
+    LinkMessage::StateRequest,
+    LinkMessage::Beat
   };
   return values;
 }
 
 inline const char * const *EnumNamesLinkMessage() {
-  static const char * const names[13] = {
+  static const char * const names[14] = {
     "NONE",
     "Greeting",
     "Pulse",
@@ -159,13 +164,14 @@
     "Cancel",
     "StateNews",
     "StateRequest",
+    "Beat",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameLinkMessage(LinkMessage e) {
-  if (flatbuffers::IsOutRange(e, LinkMessage::NONE, LinkMessage::StateRequest)) return "";
+  if (flatbuffers::IsOutRange(e, LinkMessage::NONE, LinkMessage::Beat)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesLinkMessage()[index];
 }
@@ -218,6 +224,10 @@
   static const LinkMessage enum_value = LinkMessage::StateRequest;
 };
 
+template<> struct LinkMessageTraits<Fescuenotch::MeshWire::Beat> {
+  static const LinkMessage enum_value = LinkMessage::Beat;
+};
+
 bool VerifyLinkMessage(flatbuffers::Verifier &verifier, const void *obj, LinkMessage type);
 bool VerifyLinkMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<LinkMessage> *types);
 
@@ -638,6 +648,47 @@
       store_age_ms);
 }
 
+struct Beat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BeatBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENT_AT = 4
+  };
+  int64_t sent_at() const {
+    return GetField<int64_t>(VT_SENT_AT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct BeatBuilder {
+  typedef Beat Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sent_at(int64_t sent_at) {
+    fbb_.AddElement<int64_t>(Beat::VT_SENT_AT, sent_at, 0);
+  }
+  explicit BeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Beat> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Beat>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Beat> CreateBeat(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t sent_at = 0) {
+  BeatBuilder builder_(_fbb);
+  builder_.add_sent_at(sent_at);
+  return builder_.Finish();
+}
+
 struct Open FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef OpenBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2210,6 +2261,9 @@
   const Fescuenotch::MeshWire::StateRequest *message_as_StateRequest() const {
     return message_type() == Fescuenotch::MeshWire::LinkMessage::StateRequest ? static_cast<const Fescuenotch::MeshWire::StateRequest *>(message()) : nullptr;
   }
+  const Fescuenotch::MeshWire::Beat *message_as_Beat() const {
+    return message_type() == Fescuenotch::MeshWire::LinkMessage::Beat ? static_cast<const Fescuenotch::MeshWire::Beat *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -2263,6 +2317,10 @@
   return message_as_StateRequest();
 }
 
+template<> inline const Fescuenotch::MeshWire::Beat *LinkFrame::message_as<Fescuenotch::MeshWire::Beat>() const {
+  return message_as_Beat();
+}
+
 struct LinkFrameBuilder {
   typedef LinkFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2343,6 +2401,10 @@
       auto ptr = reinterpret_cast<const Fescuenotch::MeshWire::StateRequest *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case LinkMessage::Beat: {
+      auto ptr = reinterpret_cast<const Fescuenotch::MeshWire::Beat *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
