State: a node that knows nothing asks the next peer at once; the store's news are fetched each 300 ms at most

The watchers asked the store again 100 ms after each event, most of them cold targets that count down. Ruled out: reading of the store (40 ms), links of the six fast hosts (25 copies of 55 KB take 0.1 s).

--- a/src/forward/stateexchange.cpp
+++ b/src/forward/stateexchange.cpp
@@ -51,7 +51,7 @@
     if (!newerConfiguration && !otherTargets) {
         return;
     }
-    if (!m_questions.mayAsk(now, m_targets.isInDataCentre(peer.host, m_settings.dataCentre))) {
+    if (!m_questions.mayAsk(now, {m_targets.isInDataCentre(peer.host, m_settings.dataCentre), lacksAll()})) {
         return;
     }
     // News since the mark were not enough for this digest once: take the whole listing.
@@ -69,7 +69,7 @@
 
 std::string StateExchange::greetingRequest(TimePoint now, const LinkIdentity &peer)
 {
-    if (!lacksAll() || !m_questions.mayAsk(now, peer.dataCentre == m_settings.dataCentre)) {
+    if (!lacksAll() || !m_questions.mayAsk(now, {peer.dataCentre == m_settings.dataCentre, true})) {
         return {};
     }
     m_questions.onAsked(now, peer.host);
--- a/src/mesh/newsquestions.cpp
+++ b/src/mesh/newsquestions.cpp
@@ -10,12 +10,13 @@
 {
 }
 
-bool NewsQuestions::mayAsk(TimePoint now, bool isNear)
+bool NewsQuestions::mayAsk(TimePoint now, const NewsOffer &offer)
 {
     m_lackingSince = std::min(m_lackingSince, now);
-    const auto pause = m_askedHost.empty() ? m_settings.leastPeriod : m_limit;
+    const auto period = offer.isUrgent ? m_settings.urgentPeriod : m_settings.leastPeriod;
+    const auto pause = m_askedHost.empty() ? period : m_limit;
     const bool askedLately = m_askedAt != TimePoint::min() && now - m_askedAt < pause;
-    const bool waitsForNearPeers = !isNear && now - m_lackingSince < m_settings.otherDataCentreAfter;
+    const bool waitsForNearPeers = !offer.isNear && !offer.isUrgent && now - m_lackingSince < m_settings.otherDataCentreAfter;
     return !askedLately && !waitsForNearPeers;
 }
 
--- a/src/mesh/newsquestions.h
+++ b/src/mesh/newsquestions.h
@@ -4,7 +4,9 @@
 // the same pulse. A whole state is some 50 KB, so a node on a link of 6 Mbit/s that asked each of 75 peers would be cut
 // off for five seconds by the answers, and each peer would pay for one of them. One question is open at a time.
 //
-// Peers of the own data centre are asked first: traffic between data centres is paid for, and a link across is longer.
+// A node that knows nothing yet serves nobody, so it asks anyone, and anew as soon as an answer was empty.
+//
+// Peers of the own data centre are asked first otherwise: traffic between data centres is paid for, and a link across is longer.
 // Peers elsewhere are asked once the news are `otherDataCentreAfter` old and nobody near has told them.
 //
 // How to use: `mayAsk` when a peer may have news, then `onAsked`; `onAnswered` for each answer, also for an empty one;
@@ -22,15 +24,21 @@
     milliseconds answerLimit{500}; ///< ms; a whole state needs 70 ms on a link of 6 Mbit/s, and its peer sends other answers too
     milliseconds longestAnswerLimit{4'000}; ///< ms; doubled up to this with each question that got no answer in time
     milliseconds leastPeriod{250}; ///< ms; between questions, so that views that differ for a moment are not asked for over and over
+    milliseconds urgentPeriod{20}; ///< ms; the same for a node that knows nothing yet
     milliseconds otherDataCentreAfter{300}; ///< ms; below a pulse's period, within which a near peer tells
 };
 
+/// A peer that may have news.
+struct NewsOffer {
+    bool isNear = true; ///< it is in the own data centre
+    bool isUrgent = false; ///< the own node knows nothing yet
+};
+
 class NewsQuestions
 {
 public:
     explicit NewsQuestions(const NewsQuestionsSettings &settings = {});
-    /// `isNear`: the peer is in the own data centre.
-    bool mayAsk(TimePoint now, bool isNear);
+    bool mayAsk(TimePoint now, const NewsOffer &offer);
     void onAsked(TimePoint now, const std::string &host);
     void onAnswered();
     void onPeerGone(const std::string &host);
--- a/src/mesh/storefollower.h
+++ b/src/mesh/storefollower.h
@@ -61,7 +61,7 @@
 
 struct StoreFollowerSettings {
     milliseconds watchWait{2'000}; ///< ms; bounds how late a silent store is noticed
-    milliseconds pauseAfterNews{100}; ///< ms; news that follow each other closely share a call
+    milliseconds pauseAfterNews{300}; ///< ms; news that follow each other closely share a call; a fraction of the 2 s for draining
     milliseconds firstRetry{100}; ///< ms
     milliseconds longestRetry{1'000}; ///< ms; well below the two seconds in which a removal must be heard of
     milliseconds peersFirst{0}; ///< ms; after the first listing peers have so long to bring the configuration
--- a/tests/mesh/newsquestions_test.cpp
+++ b/tests/mesh/newsquestions_test.cpp
@@ -22,9 +22,9 @@
     TimePoint linkFreeAt = now;
     unsigned asked = 0;
 
-    bool ask(std::size_t peer, bool isNear)
+    bool ask(std::size_t peer, bool isNear, bool isUrgent = false)
     {
-        if (!questions.mayAsk(now, isNear)) {
+        if (!questions.mayAsk(now, {isNear, isUrgent})) {
             return false;
         }
         questions.onAsked(now, "127.1.0." + std::to_string(peer));
@@ -45,7 +45,7 @@
             }
             const auto sincePulse = std::chrono::duration_cast<milliseconds>(now - begin).count() % PulseEach.count();
             for (std::size_t peer = 0; sincePulse == 0 && peer < Peers; ++peer) {
-                ask(peer, peer % 3 == 0);
+                ask(peer, peer % 3 == 0, true);
             }
         }
         return now - begin;
@@ -96,6 +96,15 @@
     BOOST_TEST(ask(2, true));
 }
 
+/// Pattern: all hosts lose power and start together; the first peers that link know nothing either.
+BOOST_AUTO_TEST_CASE(startingNode_peerElsewhereAnswersWithNothing_nextIsAskedAtOnce)
+{
+    BOOST_TEST(ask(1, false, true));
+    questions.onAnswered();
+    now += milliseconds(20);
+    BOOST_TEST(ask(2, false, true));
+}
+
 BOOST_AUTO_TEST_CASE(peerElsewhere_newsAreFresh_nearOnesGoFirst)
 {
     BOOST_TEST(!ask(1, false));
