--- a/src/adapter/adapter.h
+++ b/src/adapter/adapter.h
@@ -68,6 +68,8 @@
 
     /// Reads the settings from where the platform puts them. Error InvalidSetting names the field and the remedy.
     virtual Result<DeploymentSettings> readSettings() = 0;
+    /// The same from any file, for a check before the platform hands it out.
+    virtual Result<DeploymentSettings> readSettingsFile(const std::string &path) const = 0;
     virtual std::string settingsPath() const = 0; ///< of the file that they are read from
     virtual std::vector<std::string> environmentVariables() const = 0; ///< that the platform sets for its adapter
     virtual const HeaderNameSet &headers() const = 0;
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -327,10 +327,6 @@
     onTargetsChanged();
 }
 
-void MeshNode::onStoreAway(StoreFailure)
-{
-}
-
 void MeshNode::onTargetsChanged()
 {
     m_gate->setTarget(m_targets.atAddress(m_settings.targetAddress));
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -56,7 +56,6 @@
     void checkStop(TimePoint now);
 
     void onStoreUpdate(StoreUpdate update) override;
-    void onStoreAway(StoreFailure failure) override;
     void onLinkUp(const Endpoint &peer) override;
     void onLinkLost(const Endpoint &peer, CloseCause cause) override;
     void onPulse(const Endpoint &peer, const LinkPulse &pulse) override;
--- a/src/forward/storeclient.cpp
+++ b/src/forward/storeclient.cpp
@@ -240,7 +240,6 @@
     if (m_follower.isAway() && !m_wasAway) {
         m_wasAway = true;
         logEvent(LogLevel::Warning, "store_away").with("reason", storeFailureName(failure)).with("detail", detail);
-        m_events.onStoreAway(failure);
     }
     m_loop.later([this, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired()) {
--- a/src/forward/storeclient.h
+++ b/src/forward/storeclient.h
@@ -18,7 +18,6 @@
 public:
     virtual ~StoreEvents() = default;
     virtual void onStoreUpdate(StoreUpdate update) = 0;
-    virtual void onStoreAway(StoreFailure failure) = 0; ///< once, when it stops answering
 };
 
 class StoreClient final : public StreamEvents
--- a/src/mesh/storefollower.h
+++ b/src/mesh/storefollower.h
@@ -4,11 +4,12 @@
 // `onFailure`; apply what `onReply` returns. Wait until `nextAt` when `next` gives nothing.
 //
 // Order of calls: the listing of targets in pages, the configuration, then one watch over everything from the revision of
-// the listing's first page, so that nothing written in between is missed. A watch whose history is gone starts over. A store that fails is asked again after a
-// delay that doubles, with jitter, so that a fleet does not return at one moment.
+// the listing's first page, so that nothing written in between is missed. A watch whose history is gone starts over. A
+// store that fails is asked again after a delay that doubles, with jitter, so that a fleet does not return at one moment.
 #pragma once
 
 #include "kernel/clock.h"
+#include "mesh/targets.h"
 
 #include <cstdint>
 #include <optional>
@@ -66,7 +67,7 @@
     milliseconds longestRetry{1'000}; ///< ms; well below the two seconds in which a removal must be heard of
     milliseconds peersFirst{0}; ///< ms; after the first listing peers have so long to bring the configuration
     milliseconds entriesLapseAfter{2'000}; ///< ms; absences shorter than this let no entry lapse
-    milliseconds heldAfterReturn{2'200}; ///< ms; removals wait this long after the store's return
+    milliseconds heldAfterReturn = LapseGrace; ///< ms; removals wait this long after the store's return
     std::uint64_t seed = 0;
 };
 
--- a/src/mesh/targets.h
+++ b/src/mesh/targets.h
@@ -19,7 +19,7 @@
 
 namespace Fescuenotch {
 
-constexpr milliseconds LapseGrace{2'200}; ///< ms; the letter's "about two seconds" after the store's return, and a tenth more
+constexpr milliseconds LapseGrace{2'200}; ///< ms; entries of targets that live are back within two seconds of the store's return, and a tenth more
 
 enum class TargetState { Ready, Draining };
 
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -44,6 +44,11 @@
         return m_settings;
     }
 
+    Result<DeploymentSettings> readSettingsFile(const std::string &) const override
+    {
+        return m_settings;
+    }
+
     std::string settingsPath() const override
     {
         return {};
--- a/tests/forward/statecodec_test.cpp
+++ b/tests/forward/statecodec_test.cpp
@@ -115,4 +115,24 @@
     BOOST_TEST(got[1].revision == 13U);
 }
 
+/// Pattern: most links of a large fleet rest, and what they carry is paid for.
+BOOST_AUTO_TEST_CASE(beat_besideAPulse_isUnderAThird)
+{
+    LinkPulse pulse;
+    pulse.targetId = "i-5d8f17d9b8";
+    pulse.report.running = 12;
+    pulse.report.limit = 18;
+    pulse.report.meanService = microseconds(400'000);
+    pulse.report.carryPerKib = microseconds(1'500);
+    pulse.configuration = 34;
+    pulse.storeRevision = 900;
+    pulse.targetsDigest = 0x1234'5678'9abc'def0;
+    pulse.linkMbps = 6;
+    const auto now = TimePoint(seconds(1'000));
+    const auto pulseBytes = encodePulse(pulse, now).size();
+    const auto beatBytes = encodeBeat(now).size();
+    BOOST_TEST_MESSAGE("pulse " << pulseBytes << " bytes, beat " << beatBytes << " bytes");
+    BOOST_TEST(3 * beatBytes <= pulseBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
