--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr milliseconds UpkeepPeriod{500}; ///< ms; between looks at held-back removals, links and the settings file
+constexpr unsigned UpkeepsPerLoadLine = 4; ///< a line each two seconds at most
 constexpr milliseconds DutyPeriod{250}; ///< ms; between looks whether this node is to watch the store
 constexpr milliseconds StopPoll{50}; ///< ms
 constexpr milliseconds QuietBeforeExit{300}; ///< ms without a new request before the process ends
@@ -76,6 +77,9 @@
         }
         onTargetsChanged();
         prepareLinks();
+        if (++m_upkeeps % UpkeepsPerLoadLine == 0) {
+            m_gate->logLoad();
+        }
         if (settingsFileChanged()) {
             readChangedSettings();
         }
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -95,6 +95,7 @@
 
     std::optional<std::tuple<ino_t, off_t, time_t, long>> m_settingsFile; ///< inode, size, time of change
     ScopedTimer m_upkeep;
+    unsigned m_upkeeps = 0;
     ScopedTimer m_dutyTimer;
     ScopedTimer m_stopTimer;
     std::optional<TimePoint> m_stopSince;
--- a/src/forward/targetgate.cpp
+++ b/src/forward/targetgate.cpp
@@ -4,6 +4,7 @@
 #include "kernel/logging.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Fescuenotch {
 
@@ -21,6 +22,7 @@
 constexpr double ResultWeight = 0.05; ///< of one result in the share of failures
 constexpr std::size_t MostRoutes = 1'024; ///< routes whose answers' size is remembered
 constexpr std::size_t BytesPerKib = 1'024;
+constexpr double Permille = 1'000;
 constexpr std::size_t MostIdle = 64; ///< connections; above every stated number of slots
 
 constexpr unsigned SlotsBeforeListed = 4; ///< requests at once to a target whose entry is not known yet
@@ -484,6 +486,7 @@
         counter->second->add();
     }
     m_ends[static_cast<int>(Outcome::NotRun)]->add();
+    ++m_refusedSinceReport;
     work->refuse(verdict);
 }
 
@@ -652,6 +655,24 @@
     apply(m_queue.resize(m_loop.turnTime(), target->slots));
 }
 
+void TargetGate::logLoad()
+{
+    const auto load = report();
+    if (m_refusedSinceReport == 0 && load.waiting == 0) {
+        return;
+    }
+    logEvent(LogLevel::Info, "target_load")
+        .with("target", m_targetId)
+        .with("running", load.running)
+        .with("waiting", load.waiting)
+        .with("slots", load.limit)
+        .with("mean_service_ms", std::chrono::duration_cast<milliseconds>(load.meanService).count())
+        .with("failed_permille", std::lround(load.failedShare * Permille))
+        .with("carry_wait_ms", load.carryWait.count())
+        .with("refused", m_refusedSinceReport);
+    m_refusedSinceReport = 0;
+}
+
 void TargetGate::beginLeaving()
 {
     m_leaving = true;
--- a/src/forward/targetgate.h
+++ b/src/forward/targetgate.h
@@ -27,6 +27,8 @@
     /// The target's entry; null when none is listed at this host's address.
     void setTarget(const TargetRecord *target);
     void beginLeaving();
+    /// One line on why requests wait or are refused here, if any did since the last one.
+    void logLoad();
     TargetReport report() const;
     /// Large answers leave through this; `backlog` are the bytes of them that wait for the link.
     void setUplink(const UplinkPacer &pacer, std::function<std::size_t()> backlog);
@@ -73,6 +75,7 @@
     bool m_targetLeaves = false; ///< its entry says draining, or is gone
     bool m_leaving = false;
     TimePoint m_downUntil = TimePoint::min(); ///< the target took no connection
+    unsigned m_refusedSinceReport = 0;
     double m_failedShare = 0;
     const UplinkPacer *m_uplink = nullptr;
     std::function<std::size_t()> m_uplinkBacklog;
