--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -56,7 +56,6 @@
     void checkStop(TimePoint now);
 
     void onStoreUpdate(StoreUpdate update) override;
-    void onStoreAway(StoreFailure failure) override;
     void onLinkUp(const Endpoint &peer) override;
     void onLinkLost(const Endpoint &peer, CloseCause cause) override;
     void onPulse(const Endpoint &peer, const LinkPulse &pulse) override;
@@ -96,6 +95,7 @@
 
     std::optional<std::tuple<ino_t, off_t, time_t, long>> m_settingsFile; ///< inode, size, time of change
     ScopedTimer m_upkeep;
+    unsigned m_upkeeps = 0;
     ScopedTimer m_dutyTimer;
     ScopedTimer m_stopTimer;
     std::optional<TimePoint> m_stopSince;
