--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -3,8 +3,8 @@
 // One TCP connection from each entry node to each exit node that it sends to; many requests share it. The exit node
 // sends a pulse with its target's report at least each `PulsePeriod`, so that a link that went silent without a reset is
 // found within `SilenceLimit`. A link to another data centre that carries no requests gets a bare beat instead and a
-// pulse each `RestingPulsePeriod`: most links of a large fleet rest, and traffic between data centres is paid for. A lost link ends its requests: as not run
-// those whose bytes never left, as unknown the others. The next request opens a new link.
+// pulse each `RestingPulsePeriod`: most links of a large fleet rest, and traffic between data centres costs. A lost link
+// ends its requests: as not run those whose bytes never left, as unknown the others. The next request opens a new link.
 //
 // How to use: `listen` once; `open` a request to a peer; `pulseNow` at a stop, so that peers hear of it at once.
 // `LinkEvents` tells what peers say.
--- a/src/forward/stateexchange.h
+++ b/src/forward/stateexchange.h
@@ -2,8 +2,8 @@
 // store.
 //
 // Every pulse of a peer carries the version of its configuration and a digest of its targets. A node that lacks
-// something asks one of them (mesh/newsquestions.h) and gets the difference. One node of each data centre watches the store (mesh/readerduty.h);
-// a change reaches the others within a pulse and a question. A node that starts while the store is away learns all from
+// something asks one of them (mesh/newsquestions.h) and gets the difference. One node of each data centre watches the
+// store (mesh/readerduty.h); a change reaches the others within a pulse and a question. A node that starts while the store is away learns all from
 // the first peer that links to it.
 //
 // How to use: hand it what links say; `tick` often; `shouldWatch` tells the store's client what to do.
--- a/src/mesh/newsquestions.h
+++ b/src/mesh/newsquestions.h
@@ -6,8 +6,8 @@
 //
 // A node that knows nothing yet serves nobody, so it asks anyone, and anew as soon as an answer was empty.
 //
-// Peers of the own data centre are asked first otherwise: traffic between data centres is paid for, and a link across is longer.
-// Peers elsewhere are asked once the news are `otherDataCentreAfter` old and nobody near has told them.
+// Otherwise peers of the own data centre are asked first, since traffic between data centres costs. Peers elsewhere are
+// asked once the news are `otherDataCentreAfter` old and nobody near has brought them.
 //
 // How to use: `mayAsk` when a peer may have news, then `onAsked`; `onAnswered` for each answer, also for an empty one;
 // `onNothingLacking` when news came another way; `onPeerGone` when the peer that was asked is lost.
@@ -25,7 +25,7 @@
     milliseconds longestAnswerLimit{4'000}; ///< ms; doubled up to this with each question that got no answer in time
     milliseconds leastPeriod{250}; ///< ms; between questions, so that views that differ for a moment are not asked for over and over
     milliseconds urgentPeriod{20}; ///< ms; the same for a node that knows nothing yet
-    milliseconds otherDataCentreAfter{300}; ///< ms; below a pulse's period, within which a near peer tells
+    milliseconds otherDataCentreAfter{300}; ///< ms; the store and one hop within the data centre need less
 };
 
 /// A peer that may have news.
@@ -38,6 +38,7 @@
 {
 public:
     explicit NewsQuestions(const NewsQuestionsSettings &settings = {});
+    /// Also notes that something is lacking since now, if nothing was before.
     bool mayAsk(TimePoint now, const NewsOffer &offer);
     void onAsked(TimePoint now, const std::string &host);
     void onAnswered();
--- a/src/mesh/requestage.h
+++ b/src/mesh/requestage.h
@@ -5,8 +5,7 @@
 // all recent requests of the route says anything, and the difference is the least age that it can be.
 //
 // How to use: `ageOf` for each request that tells a time, with the name of its route.
-// Pitfall: an age of zero may also be that of a patient caller that has come back. Taking the longest time told as that of
-// every first try gave first tries ages of half their goal, and they were refused as late.
+// Pitfall: an age of zero may also be that of a patient caller that has come back.
 #pragma once
 
 #include "kernel/clock.h"
