Stop: a node waits for answers to peers that its link has not carried yet

Cause: a node that stops counted requests at its target and answers to its own callers, not answers to peers that the target had given and that wait for the host's link. Ruled out: the entry node (it did not stop), a lost link (none was cut then).

--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -531,7 +531,8 @@
         logEvent(LogLevel::Info, "accepts_no_more").with("in_flight", m_callers->requestsInFlight()).with("at_target", m_gate->inFlight());
         m_callers->stopAccepting();
     }
-    const bool quiet = m_callers->requestsInFlight() == 0 && m_gate->inFlight() == 0 && (m_acceptsNoMore || now - m_callers->lastRequestAt() > QuietBeforeExit);
+    const bool answered = m_callers->requestsInFlight() == 0 && m_gate->inFlight() == 0 && m_links->answersInFlight(now) == 0;
+    const bool quiet = answered && (m_acceptsNoMore || now - m_callers->lastRequestAt() > QuietBeforeExit);
     const bool done = quiet && since > m_settings.stopNotice;
     if (!done && since < m_settings.stopLimit - StopMargin) {
         return;
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -422,6 +422,12 @@
         return bytes;
     }
 
+    std::size_t answersInFlight(TimePoint now) const
+    {
+        const bool endsNow = m_lastAnswerEnd != TimePoint::min() && now - m_lastAnswerEnd < AnswerTail;
+        return m_exchanges.size() + (endsNow ? 1 : 0);
+    }
+
     void onInput() override
     {
         m_reader.append(m_tcp->input());
@@ -636,6 +642,7 @@
             return std::next(it);
         }
         write(encodeEnded(it->first, *it->second->ended));
+        m_lastAnswerEnd = m_lastWrite;
         // The caller may be a function of this exchange.
         m_links.m_loop.later([ended = std::shared_ptr<Exchange>(std::move(it->second))] {});
         return m_exchanges.erase(it);
@@ -649,7 +656,8 @@
     bool m_greeted = false;
     TimePoint m_lastWrite;
     TimePoint m_lastPulse;
-    TimePoint m_lastExchange;
+    TimePoint m_lastExchange; ///< began
+    TimePoint m_lastAnswerEnd = TimePoint::min();
     Exchanges m_exchanges; ///< by stream
 };
 
@@ -759,6 +767,15 @@
     m_pacer.onLeft(m_loop.turnTime(), bytes);
 }
 
+std::size_t PeerLinks::answersInFlight(TimePoint now) const
+{
+    std::size_t n = 0;
+    for (const auto &[key, link] : m_inbound) {
+        n += link->answersInFlight(now);
+    }
+    return n;
+}
+
 std::size_t PeerLinks::uplinkBacklog() const
 {
     std::size_t bytes = 0;
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -26,6 +26,7 @@
 constexpr milliseconds RestingPulsePeriod{1'200}; ///< ms; below the age at which a report counts for little
 constexpr milliseconds RestsAfter{2'000}; ///< ms without a request after which a link rests
 constexpr milliseconds SilenceLimit{1'300}; ///< ms; a link that gave nothing for so long is lost
+constexpr milliseconds AnswerTail{300}; ///< ms; the kernel needs 130 to send the last 96 KiB over 6 Mbit/s
 constexpr milliseconds LinkConnectLimit{600}; ///< ms; far above the way between data centres of a region
 constexpr milliseconds UnusedLinkLimit{60'000}; ///< ms; a link that carried no request for so long is closed
 
@@ -68,6 +69,8 @@
     }
     /// Bytes that leave over this host's link by other ways than these links.
     void noteOtherTraffic(std::size_t bytes);
+    /// Answers to peers that have not left this host yet, those of the last `AnswerTail` among them.
+    std::size_t answersInFlight(TimePoint now) const;
     std::size_t uplinkBacklog() const; ///< bytes of large answers that wait for the link
 
 private:
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -216,6 +216,7 @@
     s.peerListen = {address, PeerPort};
     s.healthListen = {address, HealthPort};
     s.store = store.endpoint();
+    s.linkMbps = linkMbps;
     s.stopLimit = seconds(3);
     s.stopNotice = milliseconds(50);
     m_hosts.push_back(std::move(host));
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -61,6 +61,7 @@
     void addNode(const std::string &service, const std::string &dataCentre = "one");
     /// A host whose target speaks by script, byte for byte.
     void addRawNode(const std::string &service, RawServer::Script script);
+    double linkMbps = 1'000; ///< Mbit/s; of the hosts that are added next
     /// Publishes a configuration: /read/ idempotent, /file/ not, /feed/ to the service "feed", all of host "desk".
     void publish(std::uint64_t version, const std::string &readService = "desk", milliseconds timeout = seconds(2));
     void waitReady();
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -541,6 +541,25 @@
     BOOST_TEST(has(answer, "Connection: close"));
 }
 
+/// Pattern: hosts on slow links restart in turn. The target has answered, and the answer is still on its way to the entry node
+/// when the exit node is told to stop.
+BOOST_AUTO_TEST_CASE(stop_largeAnswerIsOnItsWayOverASlowLink_callerGetsItWhole)
+{
+    constexpr std::size_t AnswerBytes = 200'000;
+    addNode("desk");
+    linkMbps = 1;
+    addNode("feed");
+    target(1).behave([this](const Standins::ServerCall &call) { return target(1).sound(call, std::string(AnswerBytes, 'x')); });
+    publish(1);
+    waitReady();
+    std::string answer;
+    std::thread caller([&] { answer = get(0, "/feed/list"); });
+    std::this_thread::sleep_for(milliseconds(400));
+    node(1).beginStop();
+    caller.join();
+    BOOST_TEST(answer.size() > AnswerBytes);
+}
+
 BOOST_AUTO_TEST_CASE(stop_callerKeepsSending_isRefusedAsNotRunWhenTheTimeToFinishBegins)
 {
     addNode("desk");
