One copy each: finishing a link's frame, seconds of a duration, destroying an object at the end of a turn

Behaviour stays as it is. linkcodec and statecodec each had their own finish and textOf (now forward/frames.h); three files of mesh had secondsOf, two of them a conversion back (now kernel/durations.h); eleven places wrapped an object into a shared pointer to outlive the turn (now EventLoop::destroyLater). onTargetsChanged copied all targets twice each half second, now once.

--- a/src/forward/callerserver.cpp
+++ b/src/forward/callerserver.cpp
@@ -442,7 +442,7 @@
     void retire()
     {
         // The caller may be a function of this request.
-        m_server.m_core.loop().later([ended = std::shared_ptr<Exchange>(std::move(m_requests.front()))] {});
+        m_server.m_core.loop().destroyLater(std::move(m_requests.front()));
         m_requests.pop_front();
         m_restsSince = now();
         if (m_requests.empty() && m_closing) {
@@ -523,7 +523,7 @@
 {
     auto node = m_connections.extract(&connection);
     if (!node.empty()) {
-        m_core.loop().later([ended = std::shared_ptr<Connection>(std::move(node.mapped()))] {});
+        m_core.loop().destroyLater(std::move(node.mapped()));
     }
 }
 
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -249,7 +249,7 @@
 void EntryRequest::onEnded(const ForwardEnd &end)
 {
     const auto now = m_core.now();
-    m_core.loop().later([ended = std::shared_ptr<ForwardStream>(std::move(m_stream))] {});
+    m_core.loop().destroyLater(std::move(m_stream));
     const auto target = *m_target;
     if (end.report) {
         m_core.picker.onReport(now, target.id, *end.report);
--- a/src/forward/linkcodec.cpp
+++ b/src/forward/linkcodec.cpp
@@ -1,6 +1,8 @@
 // Sections: [reading] [encoding] [decoding]
 #include "forward/linkcodec.h"
 
+#include "forward/frames.h"
+
 #include <algorithm>
 
 namespace Fescuenotch {
@@ -15,14 +17,6 @@
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
-template<typename T>
-std::string finish(Builder &fbb, flatbuffers::Offset<T> message)
-{
-    const auto frame = MeshWire::CreateLinkFrame(fbb, MeshWire::LinkMessageTraits<T>::enum_value, message.Union());
-    MeshWire::FinishSizePrefixedLinkFrameBuffer(fbb, frame);
-    return {reinterpret_cast<const char *>(fbb.GetBufferPointer()), fbb.GetSize()};
-}
-
 flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> makeBytes(Builder &fbb, std::string_view bytes)
 {
     return fbb.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
@@ -81,11 +75,6 @@
     return out;
 }
 
-std::string textOf(const flatbuffers::String *text)
-{
-    return text == nullptr ? std::string() : text->str();
-}
-
 std::int64_t microsecondsLeft(TimePoint until, TimePoint now)
 {
     return std::chrono::duration_cast<microseconds>(until - now).count();
@@ -170,7 +159,7 @@
     Builder fbb(SmallFrameBytes);
     const auto host = fbb.CreateString(self.host);
     const auto dataCentre = fbb.CreateString(self.dataCentre);
-    return finish(fbb, MeshWire::CreateGreeting(fbb, LinkProtocol, host, dataCentre, self.incarnation, clockValue(now)));
+    return finishFrame(fbb, MeshWire::CreateGreeting(fbb, LinkProtocol, host, dataCentre, self.incarnation, clockValue(now)));
 }
 
 std::string encodePulse(const LinkPulse &pulse, TimePoint now)
@@ -180,14 +169,14 @@
     const auto report = makeReport(fbb, pulse.report);
     const auto age = std::chrono::duration_cast<milliseconds>(pulse.storeAge).count();
     const auto ageMs = static_cast<std::uint32_t>(std::min<std::int64_t>(age, NoStoreAge));
-    return finish(
+    return finishFrame(
         fbb, MeshWire::CreatePulse(fbb, clockValue(now), target, report, pulse.configuration, pulse.storeRevision, pulse.targetsDigest, pulse.linkMbps, ageMs));
 }
 
 std::string encodeBeat(TimePoint now)
 {
     Builder fbb(SmallFrameBytes);
-    return finish(fbb, MeshWire::CreateBeat(fbb, clockValue(now)));
+    return finishFrame(fbb, MeshWire::CreateBeat(fbb, clockValue(now)));
 }
 
 std::string encodeOpen(std::uint64_t stream, const ForwardRequest &request, TimePoint now)
@@ -201,39 +190,39 @@
     const auto path = fbb.CreateString(request.path);
     const auto fields = makeFields(fbb, request.headers);
     const auto body = makeBytes(fbb, request.body);
-    return finish(fbb,
-                  MeshWire::CreateOpen(fbb,
-                                       stream,
-                                       clockValue(now),
-                                       microsecondsLeft(request.deadline, now),
-                                       microsecondsLeft(request.goal, now),
-                                       requestId,
-                                       service,
-                                       target,
-                                       route,
-                                       method,
-                                       path,
-                                       fields,
-                                       static_cast<std::uint8_t>(request.kind),
-                                       request.priority,
-                                       request.bodyLength.has_value(),
-                                       request.bodyLength.value_or(0),
-                                       body,
-                                       request.bodyWhole));
+    return finishFrame(fbb,
+                       MeshWire::CreateOpen(fbb,
+                                            stream,
+                                            clockValue(now),
+                                            microsecondsLeft(request.deadline, now),
+                                            microsecondsLeft(request.goal, now),
+                                            requestId,
+                                            service,
+                                            target,
+                                            route,
+                                            method,
+                                            path,
+                                            fields,
+                                            static_cast<std::uint8_t>(request.kind),
+                                            request.priority,
+                                            request.bodyLength.has_value(),
+                                            request.bodyLength.value_or(0),
+                                            body,
+                                            request.bodyWhole));
 }
 
 std::string encodeRequestBody(std::uint64_t stream, std::string_view bytes, bool last)
 {
     Builder fbb(SmallFrameBytes + bytes.size());
     const auto data = makeBytes(fbb, bytes);
-    return finish(fbb, MeshWire::CreateRequestBody(fbb, stream, data, last));
+    return finishFrame(fbb, MeshWire::CreateRequestBody(fbb, stream, data, last));
 }
 
 std::string encodeForwardAnswer(std::uint64_t stream, const ForwardAnswer &answer)
 {
     Builder fbb(SmallFrameBytes);
     const auto fields = makeFields(fbb, answer.headers);
-    return finish(
+    return finishFrame(
         fbb,
         MeshWire::CreateAnswer(fbb, stream, static_cast<std::uint16_t>(answer.status), fields, answer.bodyLength.has_value(), answer.bodyLength.value_or(0)));
 }
@@ -242,34 +231,34 @@
 {
     Builder fbb(SmallFrameBytes + bytes.size());
     const auto data = makeBytes(fbb, bytes);
-    return finish(fbb, MeshWire::CreateAnswerBody(fbb, stream, data));
+    return finishFrame(fbb, MeshWire::CreateAnswerBody(fbb, stream, data));
 }
 
 std::string encodeEnded(std::uint64_t stream, const ForwardEnd &end)
 {
     Builder fbb(SmallFrameBytes);
     const auto report = end.report ? makeReport(fbb, *end.report) : 0;
-    return finish(fbb,
-                  MeshWire::CreateEnded(fbb,
-                                        stream,
-                                        wireOutcome(end.outcome),
-                                        static_cast<std::uint8_t>(end.reason),
-                                        end.complete,
-                                        end.offered,
-                                        static_cast<std::uint32_t>(end.retryAfter.count()),
-                                        report));
+    return finishFrame(fbb,
+                       MeshWire::CreateEnded(fbb,
+                                             stream,
+                                             wireOutcome(end.outcome),
+                                             static_cast<std::uint8_t>(end.reason),
+                                             end.complete,
+                                             end.offered,
+                                             static_cast<std::uint32_t>(end.retryAfter.count()),
+                                             report));
 }
 
 std::string encodeCredit(std::uint64_t stream, std::size_t bytes)
 {
     Builder fbb(SmallFrameBytes);
-    return finish(fbb, MeshWire::CreateCredit(fbb, stream, static_cast<std::uint32_t>(bytes)));
+    return finishFrame(fbb, MeshWire::CreateCredit(fbb, stream, static_cast<std::uint32_t>(bytes)));
 }
 
 std::string encodeLinkCancel(std::uint64_t stream)
 {
     Builder fbb(SmallFrameBytes);
-    return finish(fbb, MeshWire::CreateCancel(fbb, stream));
+    return finishFrame(fbb, MeshWire::CreateCancel(fbb, stream));
 }
 
 // ---- [decoding] -------------------------------------------------------------------------------------------------
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -334,8 +334,9 @@
 void MeshNode::onTargetsChanged()
 {
     m_gate->setTarget(m_targets.atAddress(m_settings.targetAddress));
+    const auto targets = m_targets.all();
     std::set<std::string> hosts;
-    for (const auto &target : m_targets.all()) {
+    for (const auto &target : targets) {
         hosts.insert(target.address.host);
         if (m_entry->isLocal(target)) {
             m_entry->picker.onReachable(target.id);
@@ -343,7 +344,7 @@
             m_entry->picker.onLinked(target.id);
         }
     }
-    m_entry->picker.forgetAllBut(m_targets.all());
+    m_entry->picker.forgetAllBut(targets);
     m_entry->onFleetSize(hosts.size());
 }
 
--- a/src/forward/pageserver.cpp
+++ b/src/forward/pageserver.cpp
@@ -116,7 +116,7 @@
 {
     auto node = m_connections.extract(&connection);
     if (!node.empty()) {
-        m_loop.later([ended = std::shared_ptr<Connection>(std::move(node.mapped()))] {});
+        m_loop.destroyLater(std::move(node.mapped()));
     }
 }
 
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -644,7 +644,7 @@
         write(encodeEnded(it->first, *it->second->ended));
         m_lastAnswerEnd = m_lastWrite;
         // The caller may be a function of this exchange.
-        m_links.m_loop.later([ended = std::shared_ptr<Exchange>(std::move(it->second))] {});
+        m_links.m_loop.destroyLater(std::move(it->second));
         return m_exchanges.erase(it);
     }
 
@@ -750,7 +750,7 @@
 {
     auto node = m_outbound.extract(link.peer());
     if (!node.empty()) {
-        m_loop.later([ended = std::shared_ptr<OutboundLink>(std::move(node.mapped()))] {});
+        m_loop.destroyLater(std::move(node.mapped()));
     }
 }
 
@@ -758,7 +758,7 @@
 {
     auto node = m_inbound.extract(&link);
     if (!node.empty()) {
-        m_loop.later([ended = std::shared_ptr<InboundLink>(std::move(node.mapped()))] {});
+        m_loop.destroyLater(std::move(node.mapped()));
     }
 }
 
--- a/src/forward/statecodec.cpp
+++ b/src/forward/statecodec.cpp
@@ -1,6 +1,8 @@
 // Sections: [requests] [configuration] [targets]
 #include "forward/statecodec.h"
 
+#include "forward/frames.h"
+
 #include <zlib.h>
 
 #include <algorithm>
@@ -19,19 +21,6 @@
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
-template<typename T>
-std::string finishFrame(Builder &fbb, flatbuffers::Offset<T> message)
-{
-    const auto frame = MeshWire::CreateLinkFrame(fbb, MeshWire::LinkMessageTraits<T>::enum_value, message.Union());
-    MeshWire::FinishSizePrefixedLinkFrameBuffer(fbb, frame);
-    return {reinterpret_cast<const char *>(fbb.GetBufferPointer()), fbb.GetSize()};
-}
-
-std::string textOf(const flatbuffers::String *text)
-{
-    return text == nullptr ? std::string() : text->str();
-}
-
 } // namespace
 
 // ---- [requests] -------------------------------------------------------------------------------------------------
--- a/src/forward/targetgate.cpp
+++ b/src/forward/targetgate.cpp
@@ -248,7 +248,7 @@
             m_sentAgain = true;
             auto dropped = std::move(m_connection);
             sendOn(m_gate.newConnection());
-            m_gate.m_loop.later([dropped = std::shared_ptr<TargetConnection>(std::move(dropped))] {});
+            m_gate.m_loop.destroyLater(std::move(dropped));
             return;
         }
         m_gate.noteResult(true);
@@ -501,7 +501,7 @@
     m_ends[static_cast<int>(outcome)]->add();
     auto node = m_works.extract(id);
     if (!node.empty()) {
-        m_loop.later([work = std::shared_ptr<Work>(std::move(node.mapped()))] {});
+        m_loop.destroyLater(std::move(node.mapped()));
     }
 }
 
@@ -600,14 +600,14 @@
         }
         return;
     }
-    m_loop.later([closed = std::shared_ptr<TargetConnection>(std::move(connection))] {});
+    m_loop.destroyLater(std::move(connection));
 }
 
 void TargetGate::dropIdle(TargetConnection &connection)
 {
     const auto it = std::find_if(m_idle.begin(), m_idle.end(), [&](const auto &each) { return each.get() == &connection; });
     if (it != m_idle.end()) {
-        m_loop.later([closed = std::shared_ptr<TargetConnection>(std::move(*it))] {});
+        m_loop.destroyLater(std::move(*it));
         m_idle.erase(it);
     }
 }
--- a/src/loop/eventloop.h
+++ b/src/loop/eventloop.h
@@ -4,6 +4,7 @@
 // loop calls. Every function but `post` and `stop` belongs to that thread.
 //   loop.timers().after(milliseconds(50), [](TimePoint now) { ... });
 //   loop.later([] { ... });  // at the end of this turn, after all sockets that were ready
+//   loop.destroyLater(std::move(object));  // likewise
 //   loop.post([] { ... });   // from any thread
 //
 // Pitfalls:
@@ -93,6 +94,12 @@
         return m_turnTime;
     }
     void later(std::function<void()> call);
+    /// Destroys an object at the end of this turn, since the caller may be one of its functions.
+    template<typename T>
+    void destroyLater(std::unique_ptr<T> object)
+    {
+        later([ended = std::shared_ptr<T>(std::move(object))] {});
+    }
     void post(std::function<void()> call);
     void run(); ///< until `stop`
     void stop();
--- a/src/mesh/requestage.cpp
+++ b/src/mesh/requestage.cpp
@@ -1,5 +1,7 @@
 #include "mesh/requestage.h"
 
+#include "kernel/durations.h"
+
 #include <algorithm>
 
 namespace Fescuenotch {
@@ -12,11 +14,6 @@
 constexpr double StepMemory = 50; ///< requests after which steps begin to shrink
 constexpr std::size_t MostRoutes = 4'096; ///< routes that are told apart
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 Duration RequestAges::ageOf(const std::string &route, Duration told)
@@ -34,7 +31,7 @@
     // Moves the estimate towards the time that a share of BelowLeast is below (stochastic approximation of a quantile).
     const double step = time * std::max(LastStep, FirstStep * std::min(1.0, StepMemory / static_cast<double>(usual.seen)));
     usual.least += step * (time < usual.least ? BelowLeast - 1 : BelowLeast);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(age));
+    return durationOf(age);
 }
 
 } // namespace Fescuenotch
--- a/src/mesh/slotqueue.cpp
+++ b/src/mesh/slotqueue.cpp
@@ -1,6 +1,8 @@
 // Sections: [service times] [order] [admission] [report]
 #include "mesh/slotqueue.h"
 
+#include "kernel/durations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -19,16 +21,6 @@
 constexpr unsigned HighestPriority = 1'000; ///< higher numbers count as this one
 constexpr std::size_t MostKinds = 1'024; ///< kinds of request that are told apart
 
-Duration durationOf(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 void mix(double &mean, double sample)
 {
     mean = mean == 0 ? sample : (1 - NewSampleWeight) * mean + NewSampleWeight * sample;
--- a/src/mesh/targetpicker.cpp
+++ b/src/mesh/targetpicker.cpp
@@ -1,5 +1,6 @@
 #include "mesh/targetpicker.h"
 
+#include "kernel/durations.h"
 #include "mesh/uplinkpacer.h"
 
 #include <algorithm>
@@ -18,11 +19,6 @@
 constexpr double BytesPerKib = 1'024;
 constexpr std::size_t MostKinds = 1'024; ///< kinds of request whose size is remembered
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 TargetPicker::TargetPicker(const PickerSettings &settings)
--- a/src/mesh/uplinkpacer.cpp
+++ b/src/mesh/uplinkpacer.cpp
@@ -1,5 +1,7 @@
 #include "mesh/uplinkpacer.h"
 
+#include "kernel/durations.h"
+
 #include <algorithm>
 
 namespace Fescuenotch {
@@ -28,7 +30,7 @@
 
 void UplinkPacer::refill(TimePoint now)
 {
-    const double elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
+    const double elapsed = secondsOf(now - m_refilledAt);
     m_refilledAt = now;
     m_credit = std::min(burst(m_bytesPerSecond), m_credit + elapsed * m_bytesPerSecond);
 }
@@ -52,7 +54,7 @@
 
 Duration UplinkPacer::timeFor(std::size_t bytes) const
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(bytes) / m_bytesPerSecond));
+    return durationOf(static_cast<double>(bytes) / m_bytesPerSecond);
 }
 
 } // namespace Fescuenotch
