Links: a node links to a hash-selected part of the fleet, each service and data centre included

Cause: with more than 128 targets every node opened links to the first 128 in the order of their ids, and a target without a link is chosen only when no linked one is left. On the large deployment 67 of 195 targets got work from their own hosts alone.

--- a/src/forward/entrycontext.cpp
+++ b/src/forward/entrycontext.cpp
@@ -92,6 +92,15 @@
     return entry.targets;
 }
 
+std::set<std::string> EntryContext::requestedServices() const
+{
+    std::set<std::string> services;
+    for (const auto &[service, candidates] : m_candidates) {
+        services.insert(service);
+    }
+    return services;
+}
+
 Endpoint EntryContext::peerEndpoint(const TargetRecord &target) const
 {
     return {target.address.host, m_dependencies.settings->peerListen.port};
--- a/src/forward/entrycontext.h
+++ b/src/forward/entrycontext.h
@@ -20,6 +20,8 @@
 #include "mesh/routes.h"
 #include "mesh/targets.h"
 
+#include <set>
+
 namespace Fescuenotch {
 
 struct EntryDependencies {
@@ -66,6 +68,7 @@
     void setTable(RoutingTablePtr table);
     /// The targets of a service, cached until the target table changes.
     const std::vector<TargetRecord> &candidates(const std::string &service);
+    std::set<std::string> requestedServices() const; ///< services to which this node has sent requests
     /// Starts an attempt at `target`, directly if it is on this host, else over the link to its node.
     std::unique_ptr<ForwardStream> openStream(const TargetRecord &target, ForwardRequest request, ForwardListener &listener);
     Endpoint peerEndpoint(const TargetRecord &target) const; ///< of the node on the target's host
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -24,7 +24,6 @@
 constexpr double AcceptFractionOfStop = 0.45; ///< of the time until SIGKILL; requests accepted until then have about as long again to finish
 constexpr milliseconds StopMargin{700}; ///< ms before SIGKILL at which the process exits even with requests in flight
 constexpr double TypicalConfigurationBytes = 512 * 1024; ///< bytes; about three thousand routes in the encoding of the store
-constexpr std::size_t MaxPreparedLinks = 128; ///< links opened in advance; others are opened when their target is chosen
 
 std::uint64_t newIncarnation()
 {
@@ -352,13 +351,37 @@
 
 void MeshNode::prepareLinks()
 {
-    std::size_t n = 0;
+    if (m_stopSince) {
+        return;
+    }
+    updateSelectedPeers();
+    for (const auto &peer : m_selectedPeers) {
+        m_links->connect(peer);
+    }
+}
+
+/// Selects the peers again if the targets or the services that callers ask for have changed.
+void MeshNode::updateSelectedPeers()
+{
+    const auto services = m_entry->requestedServices();
+    const std::pair inputs{m_targets.generation(), services.size()};
+    if (m_selectedPeersFor == inputs) {
+        return;
+    }
+    m_selectedPeersFor = inputs;
+    std::vector<LinkCandidate> candidates;
     for (const auto &target : m_targets.all()) {
-        const bool wanted = target.state == TargetState::Ready && !m_entry->isLocal(target) && !m_stopSince;
-        if (wanted && ++n <= MaxPreparedLinks) {
-            m_links->connect(m_entry->peerEndpoint(target));
+        if (target.state == TargetState::Ready) {
+            candidates.push_back({target.address.host, target.dataCentre, target.service});
         }
     }
+    LinkSelectionSettings settings;
+    settings.host = m_settings.host;
+    settings.dataCentre = m_settings.dataCentre;
+    m_selectedPeers.clear();
+    for (const auto &host : selectLinks(settings, candidates, services)) {
+        m_selectedPeers.push_back({host, m_settings.peerListen.port});
+    }
 }
 
 // ---- [links] ----------------------------------------------------------------------------------------------------
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -21,6 +21,7 @@
 #include "forward/stateexchange.h"
 #include "forward/storeclient.h"
 #include "forward/targetdispatcher.h"
+#include "mesh/linkselection.h"
 
 #include <sys/types.h>
 
@@ -60,7 +61,8 @@
     TargetUpdate decodeTargetItem(const StoreItem &item);
     void logTargetChange(const TargetChange &change, const std::string &source);
     void onTargetsChanged();
-    void prepareLinks();
+    void prepareLinks(); ///< opens the links that LinkSelection wants, so that requests do not wait for them
+    void updateSelectedPeers();
 
     // Settings and stop.
     bool settingsFileChanged();
@@ -95,6 +97,8 @@
     std::optional<StoreItem> m_pendingConfiguration; ///< newest one that waits to be parsed
     bool m_parsing = false;
     std::uint64_t m_storeRevision = 0; ///< newest one seen, from the store or from a peer
+    std::vector<Endpoint> m_selectedPeers; ///< to which links are kept open
+    std::pair<std::uint64_t, std::size_t> m_selectedPeersFor{0, 0}; ///< generation of the targets, number of requested services
     bool m_hasTargets = false; ///< a complete list of targets was received, from the store or from a peer
 
     std::unique_ptr<TargetDispatcher> m_dispatcher;
