Admission: calls of running requests wait for a slot instead of being refused for lower priorities

Pattern: a service of three targets, called by another one and asked by callers too, loses two of them. Calls have the highest priority, a goal of 120 ms and 30 ms of work; the queue refused them as soon as a quarter of their goal would pass waiting, while requests of lower priority got the slots. Each refused call turned a request that had already worked at another target into a 500. Cause, two parts: the wait was bounded by the goal alone, and a starving kind went ahead of all priorities; refused requests that are offered again look starved all the time. Now a request that outranks running or waiting ones may wait up to half of the time that its deadline leaves, and a starving kind goes ahead of all priorities but the highest.

--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -17,7 +17,11 @@
 constexpr double LimitIncreasePerStart = 0.05; ///< slots added to a reduced limit per started request
 constexpr unsigned RejectionThreshold = 6; ///< a target that rejects half of its requests at random reaches this in 1 of 64 cases
 constexpr double LateWaitShare = 0.25; ///< of the longest wait that still meets the deadline; the rest is left for another target
-constexpr unsigned RanksPerPriority = 2; ///< one for requests that can meet their goal, one for late ones
+constexpr double OutrankingWaitShare = 0.5; ///< of the longest wait that still meets the deadline, for a request that is ahead of lower priorities
+constexpr unsigned RanksPerPriority = 3;
+constexpr unsigned InTimeRank = 1; ///< within its priority
+constexpr unsigned LateRank = 2; ///< within its priority
+constexpr unsigned StarvedRank = RanksPerPriority; ///< ahead of all priorities but the highest
 constexpr unsigned MaxPriorityNumber = 1'000; ///< higher numbers are treated as this one
 constexpr std::size_t MaxKinds = 1'024; ///< bounds memory; beyond this the statistics start over
 
@@ -64,10 +68,13 @@
 {
 }
 
+/// The highest priority stays first: it is that of the calls that running requests wait for.
 unsigned AdmissionQueue::rankOf(const AdmissionRequest &request, bool late) const
 {
-    const unsigned base = isStarved(request.kind) ? 0 : RanksPerPriority * (1 + std::min(request.priority, MaxPriorityNumber));
-    return late ? base + 1 : base;
+    if (request.priority > 0 && isStarved(request.kind)) {
+        return StarvedRank;
+    }
+    return RanksPerPriority * std::min(request.priority, MaxPriorityNumber) + (late ? LateRank : InTimeRank);
 }
 
 bool AdmissionQueue::isStarved(const std::string &kind) const
@@ -124,6 +131,32 @@
     return slack > Duration(0) && secondsOf(wait) <= secondsOf(slack) * m_settings.maxWaitShareOfGoal;
 }
 
+/// Whether requests of lower priority run or wait.
+bool AdmissionQueue::outranksOthers(const AdmissionRequest &request) const
+{
+    return !m_priorities.empty() && m_priorities.rbegin()->first > request.priority;
+}
+
+/// Whether a request that is ahead of lower priorities may wait although it will miss its goal. Refusing it would give the next
+/// free slot to a request of lower priority.
+bool AdmissionQueue::mayOutwait(TimePoint now, const AdmissionRequest &request, Duration wait) const
+{
+    return outranksOthers(request) && now + wait < outrankingDeadline(now, request);
+}
+
+TimePoint AdmissionQueue::outrankingDeadline(TimePoint now, const AdmissionRequest &request) const
+{
+    return now + durationOf(secondsOf(request.deadline - m_times.of(request.kind) - now) * OutrankingWaitShare);
+}
+
+void AdmissionQueue::forgetPriority(unsigned priority)
+{
+    const auto it = m_priorities.find(priority);
+    if (--it->second == 0) {
+        m_priorities.erase(it);
+    }
+}
+
 bool AdmissionQueue::meetsDeadline(TimePoint now, const AdmissionRequest &request, Duration wait) const
 {
     return now + wait + m_times.of(request.kind) < request.deadline;
@@ -144,7 +177,8 @@
 
 void AdmissionQueue::start(const AdmissionRequest &request)
 {
-    m_running.emplace(request.id, request.kind);
+    m_running.emplace(request.id, RunningRequest{request.kind, request.priority});
+    ++m_priorities[request.priority];
     noteStarted(request.kind);
     m_limit = std::min<double>(m_settings.slots, m_limit + LimitIncreasePerStart);
 }
@@ -169,14 +203,20 @@
     if (!meetsDeadline(now, request, wait)) {
         return refusal(Reason::WaitTooLong);
     }
-    if (late) {
+    auto expiresAt = queueDeadline(now, request, late);
+    bool countsAsLate = late;
+    if (late && mayOutwait(now, request, wait)) {
+        countsAsLate = false;
+        expiresAt = std::max(expiresAt, outrankingDeadline(now, request));
+    } else if (late) {
         if (m_lateWaiting >= m_settings.maxLateWaiting || !lateOnArrival) {
             return refusal(Reason::QueueFull);
         }
         position.rank = rankOf(request, true);
         ++m_lateWaiting;
     }
-    m_waiting.emplace(position, Waiting{request, late, queueDeadline(now, request, late)});
+    m_waiting.emplace(position, Waiting{request, countsAsLate, expiresAt});
+    ++m_priorities[request.priority];
     m_positions.emplace(request.id, position);
     return {AdmissionVerdict::Kind::Wait, Reason::None, milliseconds(0)};
 }
@@ -187,7 +227,10 @@
     const auto node = m_running.extract(id);
     if (!node.empty() && service > Duration(0)) {
         m_consecutiveRejections = 0;
-        m_times.add(node.mapped(), service);
+        m_times.add(node.mapped().kind, service);
+    }
+    if (!node.empty()) {
+        forgetPriority(node.mapped().priority);
     }
     startNext(now, changes);
     return changes;
@@ -200,6 +243,7 @@
     if (it != m_positions.end()) {
         const auto node = m_waiting.extract(it->second);
         m_lateWaiting -= node.mapped().late ? 1 : 0;
+        forgetPriority(node.mapped().request.priority);
         m_positions.erase(it);
     }
     startNext(now, changes);
@@ -239,6 +283,7 @@
         const auto reason = now >= request.deadline ? Reason::DeadlinePassed : Reason::WaitTooLong;
         changes.refused.emplace_back(request.id, refusal(reason));
         m_lateWaiting -= it->second.late ? 1 : 0;
+        forgetPriority(request.priority);
         m_positions.erase(request.id);
         it = m_waiting.erase(it);
     }
@@ -251,6 +296,7 @@
         const auto node = m_waiting.extract(m_waiting.begin());
         const auto &request = node.mapped().request;
         m_lateWaiting -= node.mapped().late ? 1 : 0;
+        forgetPriority(request.priority);
         m_positions.erase(request.id);
         start(request);
         changes.started.push_back(request.id);
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -5,10 +5,14 @@
 // makes every response late. So a request waits only while it can still meet its latency goal and is refused as soon as it
 // cannot: there is then still time for another target or for a retry.
 //
+// A request that is ahead of requests of lower priority may wait beyond its goal, up to half of the time that its deadline
+// leaves: refusing it would give the next free slot to less important work. This matters most for the calls of running
+// requests, whose goals are short and whose refusal wastes the work that their caller has already done.
+//
 // Order: priority, then requests that can meet their goal, then the earlier goal. Only a few requests that will miss their
-// goal may wait, for a short time. A kind of request that was served much less than the others for a while goes first
-// until it has caught up, so that none starves. Operators give calls made by targets a higher priority than requests of
-// callers.
+// goal may wait, for a short time. A kind of request that was served much less than the others for a while goes ahead of all
+// but the highest priority until it has caught up, so that none starves. Operators give the highest priority to calls made by
+// targets: their callers are running already.
 //
 // Usage: `offer` each request, call `finished` when it ends, and `tick` at `nextTick`. Not thread-safe; owned by one loop.
 #pragma once
@@ -121,9 +125,13 @@
     };
     struct Waiting {
         AdmissionRequest request;
-        bool late = false; ///< will miss its goal
+        bool late = false; ///< will miss its goal and is not ahead of lower priorities
         TimePoint expiresAt; ///< refused if not started by then
     };
+    struct RunningRequest {
+        std::string kind;
+        unsigned priority = 0;
+    };
     struct Share {
         double offered = 0; ///< requests, decaying
         double started = 0; ///< requests, decaying
@@ -133,6 +141,10 @@
     bool isStarved(const std::string &kind) const;
     bool meetsGoal(TimePoint now, const AdmissionRequest &request, Duration wait) const;
     bool meetsDeadline(TimePoint now, const AdmissionRequest &request, Duration wait) const;
+    bool outranksOthers(const AdmissionRequest &request) const;
+    bool mayOutwait(TimePoint now, const AdmissionRequest &request, Duration wait) const;
+    TimePoint outrankingDeadline(TimePoint now, const AdmissionRequest &request) const; ///< longest wait of a request that is ahead of lower priorities
+    void forgetPriority(unsigned priority);
     Duration estimatedWait(std::size_t ahead) const; ///< until a request with this many ahead of it starts
     std::size_t countAhead(const QueuePosition &position) const;
     milliseconds retryAfter() const;
@@ -146,7 +158,8 @@
 
     AdmissionQueueSettings m_settings;
     ServiceTimes m_times;
-    std::unordered_map<AdmissionId, std::string> m_running; ///< kind by id
+    std::unordered_map<AdmissionId, RunningRequest> m_running; ///< by id
+    std::map<unsigned, std::size_t> m_priorities; ///< number of running and waiting requests by priority; without zeros
     std::map<QueuePosition, Waiting> m_waiting;
     std::unordered_map<AdmissionId, QueuePosition> m_positions;
     std::size_t m_lateWaiting = 0;
--- a/tests/mesh/admissionqueue_test.cpp
+++ b/tests/mesh/admissionqueue_test.cpp
@@ -50,6 +50,106 @@
 
 using Kind = AdmissionVerdict::Kind;
 
+struct ServedShares {
+    double calls = 0; ///< 0 to 1
+    double reads = 0; ///< 0 to 1
+};
+
+/// 30 s of a target with 6 slots that gets calls worth 2.4 slots and reads worth 7.7. A refused read is offered up to
+/// `offersPerRead` times.
+class CalledService
+{
+public:
+    explicit CalledService(QueueFixture &fixture)
+        : m_fixture(fixture)
+        , m_queue(QueueFixture::slots(6))
+    {
+        fixture.learnServiceTime(m_queue, "call", CallService);
+        fixture.learnServiceTime(m_queue, "read", ReadService);
+    }
+
+    ServedShares run(unsigned offersPerRead)
+    {
+        auto &now = m_fixture.now;
+        const auto until = now + seconds(30);
+        while (now < until) {
+            now += draw(1 / (2 * ArrivalsPerSecond));
+            endUntil(now);
+            std::bernoulli_distribution(0.5)(m_random) ? offerCall() : offerRead(offersPerRead);
+        }
+        return {m_served["call"] / m_arrived["call"], m_served["read"] / m_arrived["read"]};
+    }
+
+private:
+    static constexpr milliseconds CallService{30};
+    static constexpr milliseconds ReadService{96};
+    static constexpr double ArrivalsPerSecond = 80; ///< of each kind
+
+    Duration draw(double meanSeconds)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::exponential_distribution<>(1 / meanSeconds)(m_random)));
+    }
+
+    bool offer(const AdmissionRequest &request)
+    {
+        m_kinds[request.id] = request.kind;
+        const auto verdict = m_queue.offer(m_fixture.now, request).kind;
+        if (verdict == Kind::Start) {
+            start(request.id, m_fixture.now);
+        }
+        return verdict != Kind::Refuse;
+    }
+
+    void offerCall()
+    {
+        ++m_arrived["call"];
+        offer(m_fixture.makeRequest("call", 0, milliseconds(120), milliseconds(400)));
+    }
+
+    void offerRead(unsigned offers)
+    {
+        ++m_arrived["read"];
+        for (unsigned n = 0; n < offers; ++n) {
+            if (offer(m_fixture.makeRequest("read", 2, milliseconds(400), milliseconds(1'500)))) {
+                return;
+            }
+        }
+    }
+
+    void start(AdmissionId id, TimePoint at)
+    {
+        const auto &kind = m_kinds[id];
+        const auto service = draw(std::chrono::duration<double>(kind == "call" ? CallService : ReadService).count());
+        m_ends.emplace(at + service, std::pair(id, service));
+        ++m_served[kind];
+    }
+
+    void endUntil(TimePoint now)
+    {
+        while (!m_ends.empty() && m_ends.begin()->first <= now) {
+            const auto [at, ended] = *m_ends.begin();
+            m_ends.erase(m_ends.begin());
+            startAll(m_queue.finished(at, ended.first, ended.second), at);
+        }
+        startAll(m_queue.tick(now), now);
+    }
+
+    void startAll(const QueueChanges &changes, TimePoint at)
+    {
+        for (const auto id : changes.started) {
+            start(id, at);
+        }
+    }
+
+    QueueFixture &m_fixture;
+    AdmissionQueue m_queue;
+    std::minstd_rand m_random{7};
+    std::map<AdmissionId, std::string> m_kinds;
+    std::map<std::string, double> m_arrived; ///< by kind
+    std::map<std::string, double> m_served; ///< by kind
+    std::multimap<TimePoint, std::pair<AdmissionId, Duration>> m_ends;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(AdmissionQueueTest, QueueFixture)
@@ -280,4 +380,22 @@
     BOOST_TEST(started["read"] * 8 >= started["filing"]);
 }
 
+/// A service is called by another one and has lost a part of its targets: callers' own requests alone exceed what is left. The
+/// calls have the highest priority and a short goal. Each refused call wastes the work that its caller has already done, so they
+/// must not be refused while requests of lower priority get slots.
+BOOST_AUTO_TEST_CASE(calledServiceRunsShort_callsOfRunningRequests_areServedBeforeNewWork)
+{
+    const auto served = CalledService(*this).run(1);
+    BOOST_TEST(served.calls >= 0.98);
+    BOOST_TEST(served.reads >= 0.35); // the slots that the calls leave: 3.6 of the 7.7 asked for
+}
+
+/// As above, but each refused request is offered again at once, so that its kind looks starved.
+BOOST_AUTO_TEST_CASE(calledServiceRunsShort_refusedRequestsComeBack_callsAreStillServedFirst)
+{
+    const auto served = CalledService(*this).run(6);
+    BOOST_TEST(served.calls >= 0.98);
+    BOOST_TEST(served.reads >= 0.35);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
