Store: a starting fleet waits for its configuration with one watch a data centre, and lists targets by stale reads

Cause: each node watched the store until it had a configuration, so a fleet that starts before the operator's first version polled with every node. Now a node without a configuration leaves the watch to the watching node of its data centre and watches itself when peers that have one do not deliver it within 1.5 s.

--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -488,8 +488,7 @@
 void MeshNode::updateStoreWatch(TimePoint now)
 {
     m_state->tick(now);
-    const bool hasState = m_entry->table() != nullptr && m_hasTargets;
-    const bool watches = !hasState || m_state->shouldWatch(now);
+    const bool watches = m_state->shouldWatch(now);
     if (watches != m_store->isWatching()) {
         logEvent(LogLevel::Info, "store_duty").with("watches", yesOrNo(watches)).with("store_revision", m_storeRevision);
         m_store->setWatching(watches);
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -5,8 +5,8 @@
 // `run` serves until a stop that `beginStop` began is complete. `reload` and `beginStop` may be called from any thread.
 //
 // How the configuration and the targets arrive: usually one node of a data centre watches the store, and the others learn of
-// changes from peers (see StoreWatcherSelection, StateExchange). A node watches the store itself until it has a configuration
-// and a list of targets. With both it is ready, unless it is stopping.
+// changes from peers (see StoreWatcherSelection, StateExchange). A node reads the list of targets from the store itself, since it
+// knows no peers before. With a configuration and a list of targets it is ready, unless it is stopping.
 //
 // How a stop proceeds, within `stopLimit` (from SIGTERM to SIGKILL): the platform's health page and /readyz answer 503 at once,
 // while requests that still arrive are served. When no request is in flight and none has arrived for `QuietPeriodBeforeExit`, or
--- a/src/forward/stateexchange.cpp
+++ b/src/forward/stateexchange.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr milliseconds MaxConfigurationDelay{1'500}; ///< ms; time for peers to deliver a first configuration, before it is read from the store
 constexpr std::size_t MaxBaseConfigurations = 8; ///< bases of differences kept; covers a few seconds of rapid changes
 
 } // namespace
@@ -27,6 +28,7 @@
 void StateExchange::onTableInForce(const RoutingTablePtr &table)
 {
     m_requestScheduler.onInSync();
+    m_offeredSince.reset();
     m_compressed.clear();
     m_recentTables.push_front(table);
     if (m_recentTables.size() > MaxBaseConfigurations) {
@@ -46,6 +48,9 @@
 {
     m_watcherSelection.onHeartbeat(now, peer.host, heartbeat.linkMbps, heartbeat.storeAge);
     auto versions = ownVersions();
+    if (heartbeat.configuration > 0 && versions.configuration == 0 && !m_offeredSince) {
+        m_offeredSince = now;
+    }
     const bool hasNewerConfiguration = heartbeat.configuration > versions.configuration && !m_decoding;
     const bool targetsDiffer = heartbeat.storeRevision >= versions.storeRevision && heartbeat.targetsDigest != m_targets.digest();
     if (!hasNewerConfiguration && !targetsDiffer) {
@@ -167,8 +172,16 @@
 
 // ---- [watching the store] ---------------------------------------------------------------------------------------
 
+bool StateExchange::isConfigurationOverdue(TimePoint now) const
+{
+    return m_offeredSince && now - *m_offeredSince > MaxConfigurationDelay;
+}
+
 bool StateExchange::shouldWatch(TimePoint now)
 {
+    if (!m_owner.hasTargets() || isConfigurationOverdue(now)) {
+        return true;
+    }
     std::vector<std::string> hosts{m_settings.host};
     for (const auto &target : m_targets.all()) {
         if (target.dataCentre == m_settings.dataCentre && target.address.host != m_settings.host) {
--- a/src/forward/stateexchange.h
+++ b/src/forward/stateexchange.h
@@ -19,6 +19,7 @@
 #include "mesh/storewatcherselection.h"
 
 #include <deque>
+#include <optional>
 
 namespace Fescuenotch {
 
@@ -58,12 +59,14 @@
     /// Returns the reply frame.
     std::string onRequest(const MeshWire::StateRequest &request);
     void onNews(const MeshWire::StateNews &news);
-    /// Whether this node is to watch the store.
+    /// Whether this node is to watch the store. A node without targets does, since it knows no peers. A node without a
+    /// configuration leaves it to the watching node of its data centre, unless peers that have one do not deliver it in time.
     bool shouldWatch(TimePoint now);
 
 private:
     StateVersions ownVersions() const;
     bool lacksInitialState() const; ///< no configuration or no targets yet
+    bool isConfigurationOverdue(TimePoint now) const;
     /// The configuration in force as the difference from `version`, or complete if that version is not kept any more.
     const CompressedConfiguration &compressedSince(std::uint64_t version);
     void decodeConfiguration(const MeshWire::StateNews &news);
@@ -78,6 +81,7 @@
     std::map<std::uint64_t, CompressedConfiguration> m_compressed; ///< the newest configuration, by the version of its base; 0: complete
     StateRequestScheduler m_requestScheduler;
     std::uint64_t m_requestedDigest = 0; ///< digest of targets for which the last request was sent; 0: the request was not for targets
+    std::optional<TimePoint> m_offeredSince; ///< since when a peer has a configuration while this node has none
     bool m_decoding = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     Counter &m_requestsSent;
--- a/src/mesh/storesync.cpp
+++ b/src/mesh/storesync.cpp
@@ -26,7 +26,8 @@
 
 void StoreSync::restart()
 {
-    m_query = {StoreQuery::Kind::Targets, "", 0, milliseconds(0)};
+    // The first listing serves to find peers, which know the rest. The watch continues from its revision, whatever its age.
+    m_query = {StoreQuery::Kind::Targets, "", 0, milliseconds(0), !m_listedOnce};
     m_listing.clear();
     m_watchFrom = 0;
 }
@@ -58,7 +59,7 @@
         }
         std::move(response.items.begin(), response.items.end(), std::back_inserter(m_listing));
         if (response.more) {
-            m_query = {StoreQuery::Kind::Targets, response.lastKey, 0, milliseconds(0)};
+            m_query = {StoreQuery::Kind::Targets, response.lastKey, 0, milliseconds(0), query.mayBeStale};
             break;
         }
         update.listingComplete = true;
@@ -66,18 +67,18 @@
         update.revision = m_watchFrom;
         m_nextAt = m_listedOnce ? now : now + m_settings.configurationDelay;
         m_listedOnce = true;
-        m_query = {StoreQuery::Kind::Configuration, "", 0, milliseconds(0)};
+        m_query = {StoreQuery::Kind::Configuration, "", 0, milliseconds(0), false};
         break;
     case StoreQuery::Kind::Configuration:
         // The configuration is read after the listing, so the watch delivers every later write.
         update.items = std::move(response.items);
-        m_query = {StoreQuery::Kind::Watch, "", m_watchFrom, m_settings.watchWait};
+        m_query = {StoreQuery::Kind::Watch, "", m_watchFrom, m_settings.watchWait, false};
         break;
     case StoreQuery::Kind::Watch:
         m_nextAt = response.items.empty() ? now : now + m_settings.batchDelay;
         update.items = std::move(response.items);
         m_watchFrom = std::max(m_watchFrom, response.revision);
-        m_query = {StoreQuery::Kind::Watch, "", m_watchFrom, m_settings.watchWait};
+        m_query = {StoreQuery::Kind::Watch, "", m_watchFrom, m_settings.watchWait, false};
         break;
     }
     return update;
--- a/src/mesh/storesync.h
+++ b/src/mesh/storesync.h
@@ -34,6 +34,7 @@
     std::string afterKey; ///< Targets: last key of the previous page; empty: first page
     std::uint64_t afterRevision = 0; ///< Watch: only changes after this revision of the store
     milliseconds wait{0}; ///< ms; Watch: how long the store may hold the query
+    bool mayBeStale = false; ///< Targets: a response that is seconds old will do; the store charges less for it
 };
 const char *storeQueryName(StoreQuery::Kind kind); ///< "configuration", "targets", "watch"
 
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -500,6 +500,24 @@
     BOOST_TEST(std::stoi(metric(8, "fescuenotch_state_questions_total")) <= 3);
 }
 
+/// A fleet starts before the operator has published a configuration. Calls to the store are paid for, so one node waits for it.
+BOOST_AUTO_TEST_CASE(fleetStart_noConfigurationYet_oneNodeWatchesTheStore)
+{
+    constexpr int Nodes = 6;
+    for (int n = 0; n < Nodes; ++n) {
+        addNode("desk");
+    }
+    for (int n = 0; n < Nodes; ++n) {
+        BOOST_REQUIRE(waitUntil([&] { return metric(n, "fescuenotch_mesh_targets") == std::to_string(Nodes); }));
+    }
+    std::this_thread::sleep_for(seconds(2)); // the nodes link to each other and agree on the one that watches
+    const auto watchesBefore = store.calls("/kv-watch");
+    std::this_thread::sleep_for(seconds(4));
+    BOOST_TEST(store.calls("/kv-watch") - watchesBefore <= 4U); // a watch lasts two seconds
+    publish(1);
+    waitReady();
+}
+
 /// Without the store, a starting node gets the configuration and the targets from its peers.
 BOOST_AUTO_TEST_CASE(nodeStart_storeUnavailable_loadsStateFromPeers)
 {
--- a/tests/mesh/storesync_test.cpp
+++ b/tests/mesh/storesync_test.cpp
@@ -49,6 +49,18 @@
     BOOST_TEST(watch.afterRevision == 10U);
 }
 
+/// Hundreds of nodes list the targets when the whole fleet starts. Later listings must be exact, since entries that they lack are
+/// removed.
+BOOST_AUTO_TEST_CASE(listing_first_mayBeStaleAndLaterOnesMayNot)
+{
+    BOOST_TEST(nextQuery().mayBeStale);
+    syncAll();
+    BOOST_TEST(!nextQuery().mayBeStale);
+    sync.restart();
+    BOOST_TEST((nextQuery().kind == StoreQuery::Kind::Targets));
+    BOOST_TEST(!nextQuery().mayBeStale);
+}
+
 /// A node starts on a slow link. Peers send the configuration compressed, so they get time before it is read from the store.
 BOOST_AUTO_TEST_CASE(start_configurationDelaySet_configurationIsReadAfterDelay)
 {
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -85,6 +85,7 @@
     BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::Configuration, "", 0, milliseconds(0)}) == "/kv-key?key=op/config");
     BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::Targets, "", 0, milliseconds(0)}) == "/kv-range?prefix=servers/");
     BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::Targets, "servers/i-1", 0, milliseconds(0)}) == "/kv-range?prefix=servers/&after=servers/i-1");
+    BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::Targets, "", 0, milliseconds(0), true}) == "/kv-range?prefix=servers/&allow_stale=1");
     BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::Watch, "", 411, seconds(2)}) == "/kv-watch?prefix=&after=411&wait_ms=2000");
 }
 
