Retries: the budget of a node follows the depth that calls can have, and survives a change of the fleet's size

And configure() forgot what had been spent whenever a host joined or left, so a release granted the slack again each second. Now a chain is as deep as there are services (4 at most), shares multiply to the fleet's share exactly, the slack is divided by the levels, and counts stay. Tests: next_nestedCallsAllFail_* for 1 to 4 levels (lower bound added: half of the share is usable), configure_fleetSizeChangesEachSecond_* (new; not run on the old code, whose function had other arguments). Also: the process ends without waiting for its worker, which may parse a configuration for seconds on a tenth of a core.

--- a/src/commands/meshnode.cpp
+++ b/src/commands/meshnode.cpp
@@ -167,7 +167,11 @@
     });
     watchSignals(node, signals);
     loop.join();
-    return ExitOk;
+    // The worker may still parse a large configuration, for seconds on a small share of a processor. Nothing that it or the
+    // node holds outlives the process, so neither is waited for.
+    stopBoundedLogging();
+    std::fflush(nullptr);
+    std::_Exit(ExitOk);
 }
 
 } // namespace
--- a/src/forward/entrycontext.cpp
+++ b/src/forward/entrycontext.cpp
@@ -1,6 +1,7 @@
 #include "forward/entrycontext.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Fescuenotch {
 
@@ -76,6 +77,7 @@
 void EntryContext::setTable(RoutingTablePtr table)
 {
     m_table = std::move(table);
+    updateRetryBudget();
 }
 
 const std::vector<TargetRecord> &EntryContext::candidates(const std::string &service)
@@ -120,8 +122,16 @@
 
 void EntryContext::setNodeCount(std::size_t nodes)
 {
+    m_nodes = nodes;
+    updateRetryBudget();
+}
+
+void EntryContext::updateRetryBudget()
+{
+    constexpr std::size_t UnknownServices = std::numeric_limits<std::size_t>::max();
     const auto &settings = *m_dependencies.settings;
-    retryPolicy.configure(meshRetrySettingsFor(settings.retryShare, settings.retrySlack, settings.retryWindow, nodes));
+    const FleetRetryBudget fleet{settings.retryShare, settings.retrySlack, settings.retryWindow};
+    retryPolicy.configure(meshRetrySettingsFor(fleet, m_nodes, m_table ? m_table->configuration().services.size() : UnknownServices));
 }
 
 } // namespace Fescuenotch
--- a/src/forward/entrycontext.h
+++ b/src/forward/entrycontext.h
@@ -94,7 +94,6 @@
     RequestAgeEstimator requestAges;
     MeshRetryPolicy retryPolicy;
     EntryRequestMetrics metrics;
-    bool leaving = false;
 
 private:
     struct Candidates {
@@ -103,7 +102,10 @@
     };
 
     EntryDependencies m_dependencies;
+    void updateRetryBudget();
+
     RoutingTablePtr m_table;
+    std::size_t m_nodes = 1; ///< in the fleet
     std::unordered_map<std::string, Candidates> m_candidates; ///< by service
 };
 
--- a/src/mesh/meshretrypolicy.cpp
+++ b/src/mesh/meshretrypolicy.cpp
@@ -1,12 +1,13 @@
 #include "mesh/meshretrypolicy.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Fescuenotch {
 
 namespace {
 
-constexpr double CallDepth = 4; ///< a request, its calls and their calls; the fourth part covers retries of retries, which multiply
+constexpr std::size_t MaxCallDepth = 4; ///< levels of nested calls that the budget covers, the caller's request included
 constexpr double UsableSlackShare = 0.5; ///< of the fleet's slack; a node does not know the exact number of nodes
 
 bool isIdempotent(const MeshRoute &route)
@@ -16,12 +17,15 @@
 
 } // namespace
 
-MeshRetrySettings meshRetrySettingsFor(double share, double slack, Duration window, std::size_t nodes)
+MeshRetrySettings meshRetrySettingsFor(const FleetRetryBudget &fleet, std::size_t nodes, std::size_t services)
 {
     MeshRetrySettings settings;
-    settings.budgetShare = share / CallDepth;
-    const double windowSeconds = std::chrono::duration<double>(window).count();
-    settings.budgetMinPerSecond = slack * UsableSlackShare / static_cast<double>(std::max<std::size_t>(1, nodes)) / windowSeconds;
+    // Retries of all levels multiply: with the share x on each of n levels, the deepest service gets (1 + x)^n arrivals per request.
+    const auto levels = static_cast<double>(std::clamp<std::size_t>(services, 1, MaxCallDepth));
+    settings.budgetShare = std::pow(1 + fleet.share, 1 / levels) - 1;
+    const double windowSeconds = std::chrono::duration<double>(fleet.window).count();
+    const double usableSlack = fleet.slack * UsableSlackShare / levels;
+    settings.budgetMinPerSecond = usableSlack / static_cast<double>(std::max<std::size_t>(1, nodes)) / windowSeconds;
     return settings;
 }
 
@@ -32,10 +36,9 @@
 
 void MeshRetryPolicy::configure(const MeshRetrySettings &settings)
 {
-    const bool sameBudget = settings.budgetShare == m_settings.budgetShare && settings.budgetMinPerSecond == m_settings.budgetMinPerSecond;
     m_settings = settings;
-    if (!sameBudget) {
-        m_budgets.clear();
+    for (auto &[service, budget] : m_budgets) {
+        budget.configure(settings.budgetShare, settings.budgetMinPerSecond);
     }
 }
 
--- a/src/mesh/meshretrypolicy.h
+++ b/src/mesh/meshretrypolicy.h
@@ -25,10 +25,17 @@
     Duration minRemainingTime = milliseconds(10); ///< ms; with less time until the deadline the request ends
 };
 
-/// This node's part of the fleet's retry budget: in each `window`, `share` retries per request plus `slack` retries, divided
-/// among `nodes` nodes. The calls that a retried request makes count as retries of the services it calls, so each level of
-/// nested calls gets a part of the share.
-MeshRetrySettings meshRetrySettingsFor(double share, double slack, Duration window, std::size_t nodes);
+/// The retry budget of the whole fleet: in each `window`, `share` retries per request plus `slack` retries.
+struct FleetRetryBudget {
+    double share = 0.1; ///< retries per request
+    double slack = 0; ///< retries
+    Duration window = seconds(10); ///< s
+};
+
+/// This node's part of the budget, divided among `nodes` nodes. The calls that a retried request makes count as retries of the
+/// services it calls, so each level of nested calls gets a part of the share. A chain of calls is at most as deep as there are
+/// `services`.
+MeshRetrySettings meshRetrySettingsFor(const FleetRetryBudget &fleet, std::size_t nodes, std::size_t services);
 
 /// How one delivery of a request to an exit node ended.
 struct DeliveryResult {
--- a/src/request/retrybudget.cpp
+++ b/src/request/retrybudget.cpp
@@ -22,6 +22,12 @@
 {
 }
 
+void RetryBudget::configure(double share, double minPerSecond)
+{
+    m_share = share;
+    m_minPerSecond = minPerSecond;
+}
+
 RetryBudget::Bucket &RetryBudget::bucketAt(TimePoint now)
 {
     const auto second = secondOf(now);
--- a/src/request/retrybudget.h
+++ b/src/request/retrybudget.h
@@ -19,6 +19,8 @@
 public:
     /// `share`: retries per request. `minPerSecond`: retries per second that are allowed at any request rate.
     RetryBudget(double share, double minPerSecond);
+    /// Changes the limits; what was counted stays.
+    void configure(double share, double minPerSecond);
     void onRequest(TimePoint now);
     /// Consumes the cost of one retry at `depth`. False when the budget does not cover it; then nothing is consumed.
     bool tryConsume(TimePoint now, unsigned depth);
--- a/tests/mesh/meshretrypolicy_test.cpp
+++ b/tests/mesh/meshretrypolicy_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+
 #include <random>
 
 using namespace Fescuenotch;
@@ -93,31 +95,57 @@
     BOOST_TEST(retries >= 50U);
 }
 
-/// Three levels of nested calls, of which the deepest always fails. A retried request makes its calls again, which are retried
-/// themselves, so retries multiply. Together they must stay within the fleet's budget.
+/// Nested calls, of which the deepest always fails. A retried request makes its calls again, which are retried themselves, so
+/// retries multiply. Together they must stay within the fleet's budget, however many services call each other.
 BOOST_AUTO_TEST_CASE(next_nestedCallsAllFail_retriesOfAllLevelsStayWithinShare)
 {
     constexpr double Share = 0.2;
     constexpr double Slack = 64;
     constexpr int Requests = 6'000;
-    const auto settings = meshRetrySettingsFor(Share, Slack, seconds(10), 1);
-    MeshRetryPolicy top(settings);
-    MeshRetryPolicy called(settings);
-    MeshRetryPolicy deepest(settings);
     route.maxAttempts = 2;
-    int arrivals = 0;
-    const auto fails = [&](MeshRetryPolicy &level, const std::string &service, const auto &run) {
-        level.onRequest(now, service);
+    for (const std::size_t levels : {1U, 2U, 3U, 4U}) {
+        const auto settings = meshRetrySettingsFor({Share, Slack, seconds(10)}, 1, levels);
+        std::vector<MeshRetryPolicy> policies(levels, MeshRetryPolicy(settings));
+        int arrivals = 0;
+        const std::function<void(std::size_t)> fail = [&](std::size_t level) {
+            if (level == levels) {
+                ++arrivals;
+                return;
+            }
+            const auto service = "service" + std::to_string(level);
+            policies[level].onRequest(now, service);
+            MeshRetryState each;
+            do {
+                fail(level + 1);
+            } while (policies[level].next(now, now + seconds(1), route, service, {Outcome::Unknown, Reason::TargetBroke, true, false, 0}, each)
+                     == NextStep::Retry);
+        };
+        for (int n = 0; n < Requests; ++n) {
+            now += microseconds(10'000'000 / Requests);
+            fail(0);
+        }
+        BOOST_TEST(arrivals - Requests <= Share * Requests + Slack, levels << " levels: " << arrivals - Requests << " retries");
+        BOOST_TEST(arrivals - Requests >= Share * Requests / 2, levels << " levels: " << arrivals - Requests << " retries");
+        now += seconds(20);
+    }
+}
+
+/// Hosts join and leave during a release: the retries made before a change of the fleet's size still count.
+BOOST_AUTO_TEST_CASE(configure_fleetSizeChangesEachSecond_retriesStayWithinBudget)
+{
+    constexpr double Slack = 400;
+    constexpr std::size_t Nodes = 100;
+    MeshRetryPolicy changing(meshRetrySettingsFor({0.0, Slack, seconds(10)}, Nodes, 1));
+    unsigned retries = 0;
+    for (int n = 0; n < 1'000; ++n) {
+        now += milliseconds(10);
+        changing.configure(meshRetrySettingsFor({0.0, Slack, seconds(10)}, Nodes + static_cast<std::size_t>(n / 100), 1));
+        changing.onRequest(now, "desk");
         MeshRetryState each;
-        do {
-            run();
-        } while (level.next(now, now + seconds(1), route, service, {Outcome::Unknown, Reason::TargetBroke, true, false, 0}, each) == NextStep::Retry);
-    };
-    for (int n = 0; n < Requests; ++n) {
-        now += microseconds(10'000'000 / Requests);
-        fails(top, "desk", [&] { fails(called, "feed", [&] { fails(deepest, "archive", [&] { ++arrivals; }); }); });
+        retries
+            += changing.next(now, now + seconds(1), route, "desk", {Outcome::Unknown, Reason::TargetBroke, true, false, 0}, each) == NextStep::Retry ? 1 : 0;
     }
-    BOOST_TEST(arrivals - Requests <= Share * Requests + Slack);
+    BOOST_TEST(retries <= Slack / Nodes);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
