Links: large answers to nodes that are stopping are sent first

Ruled out: a longer stop (its end is SIGKILL) and refusing downloads at once (callers are told within two seconds only).

--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -407,6 +407,7 @@
 
 void MeshNode::onHeartbeat(const Endpoint &peer, const LinkHeartbeat &heartbeat)
 {
+    m_links->setStopping(peer.host, heartbeat.report.leaving);
     m_state->onHeartbeat(m_loop.turnTime(), peer, heartbeat);
     if (!heartbeat.targetId.empty()) {
         m_entry->loadBalancer.onReport(m_loop.turnTime(), heartbeat.targetId, heartbeat.report);
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -787,8 +787,33 @@
     return bytes;
 }
 
-/// Sends pieces of the large answers of all links, the one with the fewest remaining bytes first, as far as the bandwidth
-/// of the host's link allows. Otherwise starts a timer for the next piece.
+void PeerLinks::setStopping(const std::string &host, bool stopping)
+{
+    if (stopping) {
+        m_stoppingHosts.insert(host);
+    } else {
+        m_stoppingHosts.erase(host);
+    }
+}
+
+/// The link whose large answer is to be sent next; null if there is none.
+PeerLinks::InboundLink *PeerLinks::nextLargeAnswer() const
+{
+    InboundLink *next = nullptr;
+    std::pair<bool, std::size_t> least;
+    for (const auto &[key, link] : m_inbound) {
+        const auto remaining = link->smallestLargeRemainder();
+        const std::pair order{!m_stoppingHosts.contains(link->peer().host), remaining};
+        if (remaining > 0 && (next == nullptr || order < least)) {
+            next = key;
+            least = order;
+        }
+    }
+    return next;
+}
+
+/// Sends pieces of the large answers of all links as far as the bandwidth of the host's link allows. Otherwise starts a timer
+/// for the next piece.
 void PeerLinks::sendLargeAnswers()
 {
     if (m_sendingLargeAnswers) {
@@ -796,24 +821,12 @@
     }
     m_sendingLargeAnswers = true;
     const auto now = m_loop.turnTime();
-    for (;;) {
-        InboundLink *next = nullptr;
-        std::size_t least = 0;
-        for (const auto &[key, link] : m_inbound) {
-            const auto remaining = link->smallestLargeRemainder();
-            if (remaining > 0 && (next == nullptr || remaining < least)) {
-                next = key;
-                least = remaining;
-            }
-        }
-        if (next == nullptr) {
-            break;
-        }
+    while (auto *next = nextLargeAnswer()) {
         if (!m_pacer.maySend(now)) {
             m_pacerTimer.start(m_loop.timers(), m_pacer.nextAt(now) - now, [this](TimePoint) { sendLargeAnswers(); });
             break;
         }
-        next->sendLargePiece(least);
+        next->sendLargePiece(next->smallestLargeRemainder());
     }
     m_sendingLargeAnswers = false;
 }
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -14,8 +14,8 @@
 // that peers learn of it at once. Heartbeats and state messages of peers are passed to `LinkEvents`.
 //
 // Pitfall: many answers share a link, so their bodies are sent in pieces. Answers up to `MaxSmallResponseBytes` are sent at
-// once; larger ones share the bandwidth of the host's link, the one with the fewest remaining bytes first. So a large answer
-// is delayed while shorter ones are pending.
+// once; larger ones share the bandwidth of the host's link: first those to nodes that are stopping, which must end within
+// their time to stop, then the one with the fewest remaining bytes. So a large answer is delayed while shorter ones are pending.
 #pragma once
 
 #include "forward/linkcodec.h"
@@ -74,6 +74,8 @@
     /// Sends a heartbeat to all linked nodes without waiting for the period, for example when the target's report has changed much.
     void sendHeartbeatsNow();
     bool isUp(const Endpoint &peer) const;
+    /// Whether the node on a host is stopping. Large answers to such nodes are sent first.
+    void setStopping(const std::string &host, bool stopping);
     const UplinkPacer &uplink() const
     {
         return m_pacer;
@@ -96,6 +98,7 @@
     void removeOutbound(OutboundLink &link);
     void removeInbound(InboundLink &link);
     void tick(TimePoint now);
+    InboundLink *nextLargeAnswer() const;
     void sendLargeAnswers();
 
     EventLoop &m_loop;
@@ -109,6 +112,7 @@
     UplinkPacer m_pacer;
     ScopedTimer m_pacerTimer; ///< runs while large answers wait for bandwidth
     bool m_sendingLargeAnswers = false;
+    std::set<std::string> m_stoppingHosts;
 
     Counter &m_opened;
     Counter &m_lost;
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -581,6 +581,35 @@
     BOOST_TEST(answer.size() > AnswerBytes);
 }
 
+/// A host with a slow link has large answers for a node that is stopping and many shorter ones for another node. The stopping node
+/// must get its answer before its time to stop is over.
+BOOST_AUTO_TEST_CASE(stop_slowLinkSharedWithShorterAnswers_stoppingNodeGetsItsAnswerFirst)
+{
+    constexpr std::size_t LongBytes = 120'000;
+    constexpr std::size_t ShortBytes = 40'000;
+    addNode("desk");
+    addNode("desk");
+    linkMbps = 1;
+    addNode("feed");
+    target(2).setBehaviour([this](const Standins::ServerCall &call) {
+        return target(2).validReply(call, std::string(call.path.find("long") == std::string::npos ? ShortBytes : LongBytes, 'x'));
+    });
+    publish(1, "desk", seconds(10));
+    waitReady();
+    std::vector<std::thread> callers;
+    std::string answer;
+    callers.emplace_back([&] { answer = get(0, "/feed/long"); });
+    for (int n = 0; n < 12; ++n) { // 480 KB, four seconds of the link
+        callers.emplace_back([&] { get(1, "/feed/short"); });
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    node(0).beginStop();
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    BOOST_TEST(answer.size() > LongBytes);
+}
+
 BOOST_AUTO_TEST_CASE(stop_callerKeepsSending_isRefusedAsNotRunAfterAcceptPeriod)
 {
     addNode("desk");
