Retries: three tenths of the fleet's budget stay unused

Cause: at two levels the shares multiplied to the whole budget, and a node does not count all repeats (resends on connections that the target has closed, calls of repeated requests whose parent ran elsewhere).

--- a/src/mesh/meshretrypolicy.cpp
+++ b/src/mesh/meshretrypolicy.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t MaxCallDepth = 4; ///< levels of nested calls that the budget covers, the caller's request included
+constexpr double UsableShare = 0.7; ///< of the fleet's share; the rest covers repeats that no node counts, such as resends on connections found closed
 constexpr double UsableSlackShare = 0.5; ///< of the fleet's slack; a node does not know the exact number of nodes
 
 bool isIdempotent(const MeshRoute &route)
@@ -22,7 +23,7 @@
     MeshRetrySettings settings;
     // Retries of all levels multiply: with the share x on each of n levels, the deepest service gets (1 + x)^n arrivals per request.
     const auto levels = static_cast<double>(std::clamp<std::size_t>(services, 1, MaxCallDepth));
-    settings.budgetShare = std::pow(1 + fleet.share, 1 / levels) - 1;
+    settings.budgetShare = std::pow(1 + UsableShare * fleet.share, 1 / levels) - 1;
     const double windowSeconds = std::chrono::duration<double>(fleet.window).count();
     const double usableSlack = fleet.slack * UsableSlackShare / levels;
     settings.budgetMinPerSecond = usableSlack / static_cast<double>(std::max<std::size_t>(1, nodes)) / windowSeconds;
