--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -503,11 +503,11 @@
 /// A fleet starts before the operator has published a configuration. Calls to the store are paid for, so one node waits for it.
 BOOST_AUTO_TEST_CASE(fleetStart_noConfigurationYet_oneNodeWatchesTheStore)
 {
-    constexpr int Nodes = 6;
-    for (int n = 0; n < Nodes; ++n) {
+    constexpr std::size_t Nodes = 6;
+    for (std::size_t n = 0; n < Nodes; ++n) {
         addNode("desk");
     }
-    for (int n = 0; n < Nodes; ++n) {
+    for (std::size_t n = 0; n < Nodes; ++n) {
         BOOST_REQUIRE(waitUntil([&] { return metric(n, "fescuenotch_mesh_targets") == std::to_string(Nodes); }));
     }
     std::this_thread::sleep_for(seconds(2)); // the nodes link to each other and agree on the one that watches
