--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -397,6 +397,7 @@
 
 void MeshNode::onLinkLost(const Endpoint &peer, CloseCause)
 {
+    m_links->setStopping(peer.host, false); // a stopped node ends its links; its successor tells anew
     m_state->onLinkLost(peer);
     for (const auto &target : m_targets.all()) {
         if (target.address.host == peer.host) {
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -74,7 +74,7 @@
     /// Sends a heartbeat to all linked nodes without waiting for the period, for example when the target's report has changed much.
     void sendHeartbeatsNow();
     bool isUp(const Endpoint &peer) const;
-    /// Whether the node on a host is stopping. Large answers to such nodes are sent first.
+    /// Whether the node on a host is stopping. Large answers to such nodes are sent first. Call with false when the host is gone.
     void setStopping(const std::string &host, bool stopping);
     const UplinkPacer &uplink() const
     {
@@ -112,7 +112,7 @@
     UplinkPacer m_pacer;
     ScopedTimer m_pacerTimer; ///< runs while large answers wait for bandwidth
     bool m_sendingLargeAnswers = false;
-    std::set<std::string> m_stoppingHosts;
+    std::set<std::string> m_stoppingHosts; ///< large answers to their nodes are sent first
 
     Counter &m_opened;
     Counter &m_lost;
--- a/src/mesh/linkselection.h
+++ b/src/mesh/linkselection.h
@@ -3,7 +3,7 @@
 //
 // Peers are grouped by data centre and service. Within a group each node prefers other peers, by a hash of both hosts
 // (rendezvous hashing), so that every target is linked by about the same number of nodes, and a host that joins or leaves
-// changes few links. In the own data centre nearly all peers are linked, in each other one a few per service: enough to move
+// changes few links. In the own data centre nearly all peers are linked, in the others a few per service: enough to move
 // requests there when the own data centre is short of capacity.
 //
 // Services that the node sends requests to come first, then the others in rounds of one peer per group, up to `maxLinks`.
