Admission: only the highest priority outwaits its goal

Cause: filings have priority 1 and reads 2, so in an overload filings, too, waited until half of their deadline, all of them late. Test overloadByMiddlePriority_lowerOneIsThereToo_waitStaysWithinTheGoal: 20 waited before, at most 3 can be served within the goal.

--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -17,10 +17,11 @@
 constexpr double LimitIncreasePerStart = 0.05; ///< slots added to a reduced limit per started request
 constexpr unsigned RejectionThreshold = 6; ///< a target that rejects half of its requests at random reaches this in 1 of 64 cases
 constexpr double LateWaitShare = 0.25; ///< of the longest wait that still meets the deadline; the rest is left for another target
-constexpr double OutrankingWaitShare = 0.5; ///< of the longest wait that still meets the deadline, for a request that is ahead of lower priorities
+constexpr double OutrankingWaitShare = 0.5; ///< of the longest wait that still meets the deadline, for a request of the highest priority
 constexpr unsigned RanksPerPriority = 3;
 constexpr unsigned InTimeRank = 1; ///< within its priority
 constexpr unsigned LateRank = 2; ///< within its priority
+constexpr unsigned HighestPriority = 0;
 constexpr unsigned StarvedRank = RanksPerPriority; ///< ahead of all priorities but the highest
 constexpr unsigned MaxPriorityNumber = 1'000; ///< higher numbers are treated as this one
 constexpr std::size_t MaxKinds = 1'024; ///< bounds memory; beyond this the statistics start over
@@ -71,7 +72,7 @@
 /// The highest priority stays first: it is that of the calls that running requests wait for.
 unsigned AdmissionQueue::rankOf(const AdmissionRequest &request, bool late) const
 {
-    if (request.priority > 0 && isStarved(request.kind)) {
+    if (request.priority != HighestPriority && isStarved(request.kind)) {
         return StarvedRank;
     }
     return RanksPerPriority * std::min(request.priority, MaxPriorityNumber) + (late ? LateRank : InTimeRank);
@@ -131,14 +132,14 @@
     return slack > Duration(0) && secondsOf(wait) <= secondsOf(slack) * m_settings.maxWaitShareOfGoal;
 }
 
-/// Whether requests of lower priority run or wait.
+/// Whether it has the highest priority and requests of lower priority run or wait.
 bool AdmissionQueue::outranksOthers(const AdmissionRequest &request) const
 {
-    return !m_priorities.empty() && m_priorities.rbegin()->first > request.priority;
+    return request.priority == HighestPriority && !m_priorities.empty() && m_priorities.rbegin()->first > HighestPriority;
 }
 
-/// Whether a request that is ahead of lower priorities may wait although it will miss its goal. Refusing it would give the next
-/// free slot to a request of lower priority.
+/// Whether a request of the highest priority may wait although it will miss its goal. Refusing it would give the next free slot
+/// to a request of lower priority. Others may not: in an overload they would all wait until they are late.
 bool AdmissionQueue::mayOutwait(TimePoint now, const AdmissionRequest &request, Duration wait) const
 {
     return outranksOthers(request) && now + wait < outrankingDeadline(now, request);
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -5,14 +5,13 @@
 // makes every response late. So a request waits only while it can still meet its latency goal and is refused as soon as it
 // cannot: there is then still time for another target or for a retry.
 //
-// A request that is ahead of requests of lower priority may wait beyond its goal, up to half of the time that its deadline
-// leaves: refusing it would give the next free slot to less important work. This matters most for the calls of running
-// requests, whose goals are short and whose refusal wastes the work that their caller has already done.
+// A request of the highest priority may wait beyond its goal while lower priorities are at the target, up to half of the time
+// that its deadline leaves: refusing it would give the next free slot to less important work. Operators give this priority to
+// the calls of running requests, whose goals are short and whose refusal wastes the work that their caller has already done.
 //
 // Order: priority, then requests that can meet their goal, then the earlier goal. Only a few requests that will miss their
 // goal may wait, for a short time. A kind of request that was served much less than the others for a while goes ahead of all
-// but the highest priority until it has caught up, so that none starves. Operators give the highest priority to calls made by
-// targets: their callers are running already.
+// but the highest priority until it has caught up, so that none starves.
 //
 // Usage: `offer` each request, call `finished` when it ends, and `tick` at `nextTick`. Not thread-safe; owned by one loop.
 #pragma once
@@ -125,7 +124,7 @@
     };
     struct Waiting {
         AdmissionRequest request;
-        bool late = false; ///< will miss its goal and is not ahead of lower priorities
+        bool late = false; ///< will miss its goal, and its priority is not the highest
         TimePoint expiresAt; ///< refused if not started by then
     };
     struct RunningRequest {
@@ -143,7 +142,7 @@
     bool meetsDeadline(TimePoint now, const AdmissionRequest &request, Duration wait) const;
     bool outranksOthers(const AdmissionRequest &request) const;
     bool mayOutwait(TimePoint now, const AdmissionRequest &request, Duration wait) const;
-    TimePoint outrankingDeadline(TimePoint now, const AdmissionRequest &request) const; ///< longest wait of a request that is ahead of lower priorities
+    TimePoint outrankingDeadline(TimePoint now, const AdmissionRequest &request) const; ///< longest wait of a request of the highest priority
     void forgetPriority(unsigned priority);
     Duration estimatedWait(std::size_t ahead) const; ///< until a request with this many ahead of it starts
     std::size_t countAhead(const QueuePosition &position) const;
--- a/tests/mesh/admissionqueue_test.cpp
+++ b/tests/mesh/admissionqueue_test.cpp
@@ -390,7 +390,23 @@
     BOOST_TEST(served.reads >= 0.35); // the slots that the calls leave: 3.6 of the 7.7 asked for
 }
 
-/// As above, but each refused request is offered again at once, so that its kind looks starved.
+/// A lasting overload by requests of a middle priority, with a few of a lower one. They must be refused early instead of waiting
+/// until all of them are late.
+BOOST_AUTO_TEST_CASE(overloadByMiddlePriority_lowerOneIsThereToo_waitStaysWithinTheGoal)
+{
+    constexpr milliseconds Service{100};
+    AdmissionQueue queue(slots(1));
+    learnServiceTime(queue, "read", Service);
+    learnServiceTime(queue, "filing", Service);
+    queue.offer(now, read());
+    unsigned waiting = 0;
+    for (int n = 0; n < 20; ++n) {
+        waiting += queue.offer(now, filing(milliseconds(400), milliseconds(5'000))).kind == Kind::Wait ? 1 : 0;
+    }
+    BOOST_TEST(waiting <= 3U); // what can be served within the goal
+}
+
+/// The called service again, but each refused request is offered again at once, so that its kind looks starved.
 BOOST_AUTO_TEST_CASE(calledServiceRunsShort_refusedRequestsComeBack_callsAreStillServedFirst)
 {
     const auto served = CalledService(*this).run(6);
