--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -408,6 +408,7 @@
 
 void MeshNode::onHeartbeat(const Endpoint &peer, const LinkHeartbeat &heartbeat)
 {
+    // `leaving` is also set while only the target drains or cannot be reached; then nothing but the order of answers changes.
     m_links->setStopping(peer.host, heartbeat.report.leaving);
     m_state->onHeartbeat(m_loop.turnTime(), peer, heartbeat);
     if (!heartbeat.targetId.empty()) {
--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -17,7 +17,7 @@
 constexpr double LimitIncreasePerStart = 0.05; ///< slots added to a reduced limit per started request
 constexpr unsigned RejectionThreshold = 6; ///< a target that rejects half of its requests at random reaches this in 1 of 64 cases
 constexpr double LateWaitShare = 0.25; ///< of the longest wait that still meets the deadline; the rest is left for another target
-constexpr double OutrankingWaitShare = 0.5; ///< of the longest wait that still meets the deadline, for a request of the highest priority
+constexpr double PastGoalWaitShare = 0.5; ///< of the longest wait that still meets the deadline, for a request of the highest priority
 constexpr unsigned RanksPerPriority = 3;
 constexpr unsigned InTimeRank = 1; ///< within its priority
 constexpr unsigned LateRank = 2; ///< within its priority
@@ -133,21 +133,21 @@
 }
 
 /// Whether it has the highest priority and requests of lower priority run or wait.
-bool AdmissionQueue::outranksOthers(const AdmissionRequest &request) const
+bool AdmissionQueue::hasHighestPriorityAmongLower(const AdmissionRequest &request) const
 {
     return request.priority == HighestPriority && !m_priorities.empty() && m_priorities.rbegin()->first > HighestPriority;
 }
 
 /// Whether a request of the highest priority may wait although it will miss its goal. Refusing it would give the next free slot
 /// to a request of lower priority. Others may not: in an overload they would all wait until they are late.
-bool AdmissionQueue::mayOutwait(TimePoint now, const AdmissionRequest &request, Duration wait) const
+bool AdmissionQueue::mayWaitPastGoal(TimePoint now, const AdmissionRequest &request, Duration wait) const
 {
-    return outranksOthers(request) && now + wait < outrankingDeadline(now, request);
+    return hasHighestPriorityAmongLower(request) && now + wait < latestStartPastGoal(now, request);
 }
 
-TimePoint AdmissionQueue::outrankingDeadline(TimePoint now, const AdmissionRequest &request) const
+TimePoint AdmissionQueue::latestStartPastGoal(TimePoint now, const AdmissionRequest &request) const
 {
-    return now + durationOf(secondsOf(request.deadline - m_times.of(request.kind) - now) * OutrankingWaitShare);
+    return now + durationOf(secondsOf(request.deadline - m_times.of(request.kind) - now) * PastGoalWaitShare);
 }
 
 void AdmissionQueue::forgetPriority(unsigned priority)
@@ -206,9 +206,9 @@
     }
     auto expiresAt = queueDeadline(now, request, late);
     bool countsAsLate = late;
-    if (late && mayOutwait(now, request, wait)) {
+    if (late && mayWaitPastGoal(now, request, wait)) {
         countsAsLate = false;
-        expiresAt = std::max(expiresAt, outrankingDeadline(now, request));
+        expiresAt = std::max(expiresAt, latestStartPastGoal(now, request));
     } else if (late) {
         if (m_lateWaiting >= m_settings.maxLateWaiting || !lateOnArrival) {
             return refusal(Reason::QueueFull);
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -140,9 +140,10 @@
     bool isStarved(const std::string &kind) const;
     bool meetsGoal(TimePoint now, const AdmissionRequest &request, Duration wait) const;
     bool meetsDeadline(TimePoint now, const AdmissionRequest &request, Duration wait) const;
-    bool outranksOthers(const AdmissionRequest &request) const;
-    bool mayOutwait(TimePoint now, const AdmissionRequest &request, Duration wait) const;
-    TimePoint outrankingDeadline(TimePoint now, const AdmissionRequest &request) const; ///< longest wait of a request of the highest priority
+    bool hasHighestPriorityAmongLower(const AdmissionRequest &request) const;
+    bool mayWaitPastGoal(TimePoint now, const AdmissionRequest &request, Duration wait) const;
+    TimePoint latestStartPastGoal(TimePoint now,
+                                  const AdmissionRequest &request) const; ///< a request of the highest priority is refused if not started by then
     void forgetPriority(unsigned priority);
     Duration estimatedWait(std::size_t ahead) const; ///< until a request with this many ahead of it starts
     std::size_t countAhead(const QueuePosition &position) const;
