--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -45,6 +45,15 @@
         return unsent + static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(), [](const auto &each) { return !each->isDone(); }));
     }
 
+    void logUnanswered() const
+    {
+        for (const auto &each : m_requests) {
+            if (each->hasRequest() && !each->isDone()) {
+                each->request().logUnanswered();
+            }
+        }
+    }
+
     /// Has carried no request yet; its first one may be on the way.
     bool isUnused() const
     {
@@ -555,6 +564,13 @@
     return n;
 }
 
+void CallerHttpServer::logUnanswered() const
+{
+    for (const auto &[key, connection] : m_connections) {
+        connection->logUnanswered();
+    }
+}
+
 void CallerHttpServer::closeIdle()
 {
     for (auto *connection : connections()) {
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -369,6 +369,19 @@
     finish(0);
 }
 
+void EntryRequest::logUnanswered() const
+{
+    logEvent(LogLevel::Warning, "cut_by_exit")
+        .with("request", m_requestId)
+        .with("route", m_route == nullptr ? std::string() : m_route->name)
+        .with("target", m_target ? m_target->id : std::string())
+        .with("exit_node", m_target ? m_target->address.host : std::string())
+        .with("status", m_status)
+        .with("received_bytes", m_answerBytes)
+        .with("held_ms", toMilliseconds(m_context.now() - m_arrivedAt))
+        .with("left_ms", toMilliseconds(m_deadline - m_context.now()));
+}
+
 /// Destroying the stream makes the exit node cancel the request at its target.
 void EntryRequest::cancelAttempt()
 {
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -41,6 +41,7 @@
     void onAnswerBacklogReduced();
     /// Cancels the running attempt; nothing is written to the AnswerWriter afterwards.
     void onCallerDisconnected();
+    void logUnanswered() const; ///< for a request that the end of the process cuts
 
 private:
     void onAnswer(ForwardAnswer answer) override;
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -568,6 +568,7 @@
         return;
     }
     m_stopTimer.cancel();
+    m_callerServer->logUnanswered();
     m_callerServer->closeIdle();
     m_loop.stop();
 }
