--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -13,6 +13,17 @@
     return text.find(part) != std::string::npos;
 }
 
+/// A head and as many bytes of body as its Content-Length says.
+bool isComplete(const std::string &answer)
+{
+    const auto headEnd = answer.find("\r\n\r\n");
+    const auto length = answer.find("Content-Length: ");
+    if (headEnd == std::string::npos || length > headEnd) {
+        return false;
+    }
+    return answer.size() == headEnd + 4 + std::stoul(answer.substr(length + 16));
+}
+
 std::string headerIn(const ReceivedRequest &request, const char *name)
 {
     const auto *value = findHeader(request.headers, name);
@@ -610,6 +621,64 @@
     BOOST_TEST(answer.size() > LongBytes);
 }
 
+/// Guards against connections that a stopping node closes in the middle of an answer, or without one: the request came after the
+/// stop began, and the exit node planned with the time of the request instead of the shorter time of the node.
+BOOST_AUTO_TEST_CASE(stop_downloadThatOutlastsTheNode_callerGetsCompleteAnswer)
+{
+    constexpr std::size_t AnswerBytes = 300'000; // 2.4 s of the link; the node exits 2.3 s after the stop began
+    addNode("desk");
+    linkMbps = 1;
+    addNode("feed");
+    target(1).setBehaviour([this](const Standins::ServerCall &call) { return target(1).validReply(call, std::string(AnswerBytes, 'x')); });
+    publish(1, "desk", seconds(10));
+    waitReady();
+    auto socket = RawSocket::connectTo(callerEndpoint(0));
+    node(0).beginStop();
+    std::this_thread::sleep_for(milliseconds(250));
+    socket.send(request("GET", "/feed/list", "id-1"));
+    const auto answer = socket.receiveAll();
+    BOOST_TEST(isComplete(answer), "got " << answer.size() << " bytes: " << answer.substr(0, 200));
+}
+
+/// As above, but the exit node has sent such an answer before: it knows on arrival that there is too little time, so the request
+/// must not run.
+BOOST_AUTO_TEST_CASE(stop_downloadKnownToOutlastTheNode_isRefusedAsNotRun)
+{
+    constexpr std::size_t AnswerBytes = 300'000;
+    addNode("desk");
+    linkMbps = 1;
+    addNode("feed");
+    target(1).setBehaviour([this](const Standins::ServerCall &call) { return target(1).validReply(call, std::string(AnswerBytes, 'x')); });
+    publish(1, "desk", seconds(10));
+    waitReady();
+    BOOST_TEST(isComplete(get(0, "/feed/list")));
+    auto socket = RawSocket::connectTo(callerEndpoint(0));
+    node(0).beginStop();
+    std::this_thread::sleep_for(milliseconds(250));
+    socket.send(request("GET", "/feed/list", "id-2"));
+    const auto answer = socket.receiveAll();
+    BOOST_TEST(isComplete(answer));
+    BOOST_TEST(contains(answer, "Fescuenotch-Outcome: not-run"));
+    BOOST_TEST(target(1).requests().size() == 1U);
+}
+
+/// The target is still at work when the node must end: the caller gets a complete answer that says so, not a closed connection.
+BOOST_AUTO_TEST_CASE(stop_targetOutlastsTheNode_callerGetsCompleteAnswer)
+{
+    addNode("desk");
+    addNode("feed");
+    target(1).setBehaviour([this](const Standins::ServerCall &call) { return target(1).delayedReply(call, seconds(4)); });
+    publish(1, "desk", seconds(10));
+    waitReady();
+    auto socket = RawSocket::connectTo(callerEndpoint(0));
+    socket.send(request("GET", "/feed/list", "id-1"));
+    BOOST_REQUIRE(waitUntil([&] { return target(1).requests().size() == 1; }));
+    node(0).beginStop();
+    const auto answer = socket.receiveAll();
+    BOOST_TEST(isComplete(answer));
+    BOOST_TEST(contains(answer, "Fescuenotch-Outcome: unknown"));
+}
+
 BOOST_AUTO_TEST_CASE(stop_callerKeepsSending_isRefusedAsNotRunAfterAcceptPeriod)
 {
     addNode("desk");
