Stop: requests get the deadline of the node's end, and exit nodes are told it

Cause: the deadline that a stopping entry node sends on knew nothing of its own end, so exit nodes planned with time that the entry node did not have: they ran the request and sent its answer last over a link with a queue of three seconds. Change: StopSchedule (mesh/stopschedule) states the times of a stop; its latest deadline bounds those of all requests, new ones by their Open frame, running ones by a frame Deadline that older nodes ignore; waiting requests that then lack time are refused as not-run; the exit side of a stopping node does the same for the answers that it holds. Large answers are sent in the order of mesh/answerorder (as many as possible by their deadlines, the shortest first while there is time to spare) instead of by a list of stopping hosts. A stopping node holds an answer until it is complete, so that one that comes too late is replaced by an error the caller can read. Ruled out: an early end by a signal (the connections close 5.3 s after SIGTERM, at the stop's limit); a longer stop (SIGKILL ends it).

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -54,6 +54,15 @@
         }
     }
 
+    void shortenDeadlines()
+    {
+        for (const auto &each : m_requests) {
+            if (each->hasRequest()) {
+                each->request().shortenDeadline();
+            }
+        }
+    }
+
     /// Has carried no request yet; its first one may be on the way.
     bool isUnused() const
     {
@@ -523,6 +532,9 @@
 void CallerHttpServer::beginDrain()
 {
     m_draining = true;
+    for (auto *connection : connections()) {
+        connection->shortenDeadlines();
+    }
 }
 
 void CallerHttpServer::stopAccepting()
--- a/src/forward/entrycontext.h
+++ b/src/forward/entrycontext.h
@@ -68,6 +68,20 @@
     void setTable(RoutingTablePtr table);
     /// The targets of a service, cached until the target table changes.
     const std::vector<TargetRecord> &candidates(const std::string &service);
+    /// Requests must be answered by this time, whatever their own deadlines: this node stops. Call it once, then
+    /// EntryRequest::shortenDeadline for each running request.
+    void beginStopping(TimePoint latestDeadline)
+    {
+        m_latestDeadline = latestDeadline;
+    }
+    bool isStopping() const
+    {
+        return m_latestDeadline != TimePoint::max();
+    }
+    TimePoint latestDeadline() const ///< TimePoint::max() unless this node is stopping
+    {
+        return m_latestDeadline;
+    }
     std::set<std::string> requestedServices() const; ///< services to which this node has sent requests
     /// Starts an attempt at `target`, directly if it is on this host, else over the link to its node.
     std::unique_ptr<ForwardStream> openStream(const TargetRecord &target, ForwardRequest request, ForwardListener &listener);
@@ -105,6 +119,7 @@
     void updateRetryBudget();
 
     RoutingTablePtr m_table;
+    TimePoint m_latestDeadline = TimePoint::max();
     std::size_t m_nodes = 1; ///< in the fleet
     std::unordered_map<std::string, Candidates> m_candidates; ///< by service
 };
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -66,7 +66,24 @@
     if (!resolveRoute()) {
         return;
     }
-    m_deadlineTimer.start(m_context.loop().timers(), m_deadline - m_arrivedAt + DeadlineGrace, [this](TimePoint) { onDeadline(); });
+    startDeadlineTimer();
+}
+
+void EntryRequest::startDeadlineTimer()
+{
+    m_deadlineTimer.start(m_context.loop().timers(), m_deadline - m_context.now() + DeadlineGrace, [this](TimePoint) { onDeadline(); });
+}
+
+void EntryRequest::shortenDeadline()
+{
+    if (m_done || m_route == nullptr || m_deadline <= m_context.latestDeadline()) {
+        return;
+    }
+    m_deadline = m_context.latestDeadline();
+    startDeadlineTimer();
+    if (m_stream) {
+        m_stream->shortenDeadline(m_deadline);
+    }
 }
 
 bool EntryRequest::resolveRoute()
@@ -96,7 +113,7 @@
 void EntryRequest::computeDeadline(TimePoint arrived)
 {
     const auto remainingTime = parseRemainingTime(findHeader(m_head.headers, m_context.dependencies().adapter->headers().remainingTime));
-    m_deadline = arrived + std::min(m_route->timeout, remainingTime.value_or(m_route->timeout));
+    m_deadline = std::min(arrived + std::min(m_route->timeout, remainingTime.value_or(m_route->timeout)), m_context.latestDeadline());
     if (remainingTime) {
         m_estimatedAge = m_context.requestAges.estimate(m_route->name, *remainingTime);
     }
@@ -189,6 +206,8 @@
     }
     m_attempted = true;
     m_answerStarted = false;
+    m_heldAnswer.reset();
+    m_heldBody.clear();
     m_status = 0;
     m_triedTargets.push_back(m_target->id);
     m_stream = m_context.openStream(*m_target, forwardRequest(), *this);
@@ -203,9 +222,23 @@
         return;
     }
     m_answerStarted = true;
+    if (mayHold(answer)) {
+        m_heldAnswer = std::move(answer);
+        return;
+    }
     m_writer.beginAnswer(answer.status, answer.headers, answer.bodyLength);
 }
 
+bool EntryRequest::mayHold(const ForwardAnswer &answer) const
+{
+    return m_context.isStopping() && answer.bodyLength && *answer.bodyLength <= MaxHeldAnswerBytes;
+}
+
+bool EntryRequest::hasForwardedAnswer() const
+{
+    return m_answerStarted && !m_heldAnswer;
+}
+
 /// Discards a 5xx answer and retries the request on another target if the retry policy allows it. Returns whether it did.
 bool EntryRequest::retryOnServerError(unsigned status)
 {
@@ -234,8 +267,12 @@
 void EntryRequest::onAnswerBody(std::string_view bytes)
 {
     m_answerBytes += bytes.size();
-    m_writer.answerBody(bytes);
     m_uncreditedBytes += bytes.size();
+    if (m_heldAnswer) {
+        m_heldBody += bytes;
+    } else {
+        m_writer.answerBody(bytes);
+    }
     onAnswerBacklogReduced();
 }
 
@@ -258,6 +295,10 @@
     if (end.outcome == Outcome::Ran && end.complete && m_answerStarted) {
         m_context.loadBalancer.onEnded(now, target.id, m_status >= FirstServerError ? SendResult::Failed : SendResult::Served);
         m_context.loadBalancer.onResponseSize(m_route->name, m_answerBytes);
+        if (m_heldAnswer) {
+            m_writer.beginAnswer(m_heldAnswer->status, m_heldAnswer->headers, m_heldAnswer->bodyLength);
+            m_writer.answerBody(m_heldBody);
+        }
         const auto status = m_status;
         m_writer.finishAnswer();
         finish(status);
@@ -270,7 +311,7 @@
         : end.reason == Reason::Cancelled ? SendResult::Cancelled
                                           : SendResult::Failed;
     m_context.loadBalancer.onEnded(now, target.id, result);
-    handleFailure({end.outcome, end.reason, end.offered || end.outcome == Outcome::Unknown, m_answerStarted, 0}, end.retryAfter);
+    handleFailure({end.outcome, end.reason, end.offered || end.outcome == Outcome::Unknown, hasForwardedAnswer(), 0}, end.retryAfter);
 }
 
 // ---- [failures] -------------------------------------------------------------------------------------------------
@@ -348,7 +389,7 @@
     end.reason = Reason::DeadlinePassed;
     end.offered = m_attempted;
     end.outcome = m_attempted ? Outcome::Unknown : Outcome::NotRun;
-    end.responseStarted = m_answerStarted;
+    end.responseStarted = hasForwardedAnswer();
     cancelAttempt();
     m_retryState.mayHaveRun = m_retryState.mayHaveRun || m_attempted;
     failRequest(end, milliseconds(0));
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -5,6 +5,9 @@
 // The answer goes to the AnswerWriter, which must outlive the request. Every request is answered or aborted by its deadline
 // plus a short grace. Destroying it cancels the running attempt.
 //
+// While the node is stopping, an answer is held until it is complete, so that one that comes too late can be replaced by an error
+// that the caller can read.
+//
 // Pitfall: a body of up to `MaxBufferedBodyBytes` is buffered, so that the request can be sent to another target. A longer
 // body is streamed to the first target, and such a request is never retried.
 #pragma once
@@ -15,6 +18,7 @@
 namespace Fescuenotch {
 
 constexpr std::size_t MaxBufferedBodyBytes = 64 * 1024; ///< bytes; a longer body is streamed
+constexpr std::size_t MaxHeldAnswerBytes = 1024 * 1024; ///< bytes; a longer answer is passed on piece by piece also by a stopping node
 
 /// Receives the answer: one `beginAnswer`, pieces of the body, then `finishAnswer` or `abortAnswer`.
 class AnswerWriter
@@ -39,6 +43,7 @@
     void onRequestBody(std::string_view bytes, bool last);
     bool isReadyForBody() const;
     void onAnswerBacklogReduced();
+    void shortenDeadline(); ///< to that of the EntryContext, if it is earlier
     /// Cancels the running attempt; nothing is written to the AnswerWriter afterwards.
     void onCallerDisconnected();
     void logUnanswered() const; ///< for a request that the end of the process cuts
@@ -51,6 +56,9 @@
 
     bool resolveRoute();
     void computeDeadline(TimePoint arrived);
+    void startDeadlineTimer();
+    bool mayHold(const ForwardAnswer &answer) const;
+    bool hasForwardedAnswer() const; ///< at least a part of the target's answer was written
     void prepareHeaders();
     void startAttempt();
     ForwardRequest forwardRequest() const;
@@ -87,7 +95,9 @@
     std::unique_ptr<ForwardStream> m_stream;
     std::vector<std::string> m_triedTargets; ///< ids of all targets to which an attempt was started
     MeshRetryState m_retryState;
-    bool m_answerStarted = false;
+    bool m_answerStarted = false; ///< the target's answer has begun
+    std::optional<ForwardAnswer> m_heldAnswer; ///< the answer begun, while nothing of it is written
+    std::string m_heldBody;
     unsigned m_status = 0; ///< HTTP status of the target's answer; 0 before it
     std::size_t m_answerBytes = 0;
     std::size_t m_uncreditedBytes = 0; ///< answer bytes received for which no credit was returned yet
--- a/src/forward/linkcodec.cpp
+++ b/src/forward/linkcodec.cpp
@@ -263,6 +263,12 @@
     return finishFrame(fbb, MeshWire::CreateCancel(fbb, stream));
 }
 
+std::string encodeDeadline(std::uint64_t stream, TimePoint deadline, TimePoint now)
+{
+    Builder fbb(InitialBufferBytes);
+    return finishFrame(fbb, MeshWire::CreateDeadline(fbb, stream, toWireTime(now), remainingMicroseconds(deadline, now)));
+}
+
 // ---- [decoding] -------------------------------------------------------------------------------------------------
 
 LinkIdentity decodeGreeting(const MeshWire::Greeting &greeting)
--- a/src/forward/linkcodec.h
+++ b/src/forward/linkcodec.h
@@ -84,6 +84,8 @@
 /// Grants the other side `bytes` more of a body.
 std::string encodeCredit(std::uint64_t stream, std::size_t bytes);
 std::string encodeLinkCancel(std::uint64_t stream);
+/// Replaces the deadline of an open request by an earlier one. Nodes that do not know the frame ignore it.
+std::string encodeDeadline(std::uint64_t stream, TimePoint deadline, TimePoint now);
 
 LinkIdentity decodeGreeting(const MeshWire::Greeting &greeting);
 LinkHeartbeat decodeHeartbeat(const MeshWire::Pulse &heartbeat);
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -21,8 +21,6 @@
 constexpr milliseconds StoreWatchCheckPeriod{250}; ///< ms between decisions whether this node watches the store
 constexpr milliseconds StopCheckPeriod{50}; ///< ms
 constexpr milliseconds QuietPeriodBeforeExit{300}; ///< ms without a new request before the process exits
-constexpr double AcceptFractionOfStop = 0.45; ///< of the time until SIGKILL; requests accepted until then have about as long again to finish
-constexpr milliseconds StopMargin{700}; ///< ms before SIGKILL at which the process exits even with requests in flight
 constexpr double TypicalConfigurationBytes = 512 * 1024; ///< bytes; about three thousand routes in the encoding of the store
 
 std::uint64_t newIncarnation()
@@ -161,7 +159,7 @@
 
 bool MeshNode::isReady() const
 {
-    return m_entry->table() != nullptr && m_hasTargets && !m_stopSince;
+    return m_entry->table() != nullptr && m_hasTargets && !m_stop;
 }
 
 void MeshNode::addPages()
@@ -185,7 +183,7 @@
     status["node"] = m_settings.nodeName;
     status["data_centre"] = m_settings.dataCentre;
     status["ready"] = isReady();
-    status["leaving"] = m_stopSince.has_value();
+    status["leaving"] = m_stop.has_value();
     status["configuration"] = m_entry->table() ? m_entry->table()->version() : 0;
     status["store_age_ms"] = age == Duration::max() ? -1 : std::chrono::duration_cast<milliseconds>(age).count();
     status["targets"] = nlohmann::json::array();
@@ -351,7 +349,7 @@
 
 void MeshNode::prepareLinks()
 {
-    if (m_stopSince) {
+    if (m_stop) {
         return;
     }
     updateSelectedPeers();
@@ -397,7 +395,6 @@
 
 void MeshNode::onLinkLost(const Endpoint &peer, CloseCause)
 {
-    m_links->setStopping(peer.host, false); // a stopped node ends its links; its successor tells anew
     m_state->onLinkLost(peer);
     for (const auto &target : m_targets.all()) {
         if (target.address.host == peer.host) {
@@ -408,8 +405,6 @@
 
 void MeshNode::onHeartbeat(const Endpoint &peer, const LinkHeartbeat &heartbeat)
 {
-    // `leaving` is also set while only the target drains or cannot be reached; then nothing but the order of answers changes.
-    m_links->setStopping(peer.host, heartbeat.report.leaving);
     m_state->onHeartbeat(m_loop.turnTime(), peer, heartbeat);
     if (!heartbeat.targetId.empty()) {
         m_entry->loadBalancer.onReport(m_loop.turnTime(), heartbeat.targetId, heartbeat.report);
@@ -425,7 +420,7 @@
     heartbeat.storeRevision = m_storeRevision;
     heartbeat.linkMbps = static_cast<unsigned>(m_settings.linkMbps);
     heartbeat.targetsDigest = m_hasTargets ? m_targets.digest() : 0;
-    if (m_store->isWatching() && !m_stopSince) {
+    if (m_store->isWatching() && !m_stop) {
         heartbeat.storeAge = m_store->sync().age(m_loop.turnTime());
     }
     return heartbeat;
@@ -536,16 +531,21 @@
 void MeshNode::beginStop()
 {
     m_loop.post([this] {
-        if (m_stopSince) {
+        if (m_stop) {
             return;
         }
-        m_stopSince = m_loop.turnTime();
+        StopScheduleSettings schedule;
+        schedule.stopLimit = m_settings.stopLimit;
+        schedule.announcement = m_settings.stopAnnouncement;
+        m_stop.emplace(m_loop.turnTime(), schedule);
         logEvent(LogLevel::Info, "node_leaving")
             .with("in_flight", m_callerServer->requestsInFlight())
             .with("at_target", m_dispatcher->inFlight())
             .with("ready", yesOrNo(false));
-        m_dispatcher->beginLeaving();
+        m_dispatcher->beginLeaving(m_stop->latestDeadline());
+        m_links->beginStopping(m_stop->latestDeadline());
         m_links->sendHeartbeatsNow(); // tells peers that this node is stopping
+        m_entry->beginStopping(m_stop->latestDeadline());
         m_callerServer->beginDrain();
         m_stopTimer.repeat(m_loop.timers(), StopCheckPeriod, [this](TimePoint now) { checkStop(now); });
     });
@@ -553,18 +553,16 @@
 
 void MeshNode::checkStop(TimePoint now)
 {
-    const auto since = now - *m_stopSince;
     const bool answered = m_callerServer->requestsInFlight() == 0 && m_dispatcher->inFlight() == 0 && m_links->answersInFlight(now) == 0;
-    const auto lastArrival = std::max(m_callerServer->lastRequestAt(), m_acceptStoppedAt.value_or(*m_stopSince));
-    const bool quiet = answered && now - lastArrival > QuietPeriodBeforeExit && since > m_settings.stopAnnouncement;
-    const bool acceptPeriodOver = std::chrono::duration<double>(since) > m_settings.stopLimit * AcceptFractionOfStop;
-    if (!m_acceptStoppedAt && (quiet || acceptPeriodOver)) {
+    const auto lastArrival = std::max(m_callerServer->lastRequestAt(), m_acceptStoppedAt.value_or(m_stop->begin()));
+    const bool quiet = answered && now - lastArrival > QuietPeriodBeforeExit && m_stop->isAnnounced(now);
+    if (!m_acceptStoppedAt && (quiet || now > m_stop->acceptUntil())) {
         m_acceptStoppedAt = now;
         logEvent(LogLevel::Info, "accepts_no_more").with("in_flight", m_callerServer->requestsInFlight()).with("at_target", m_dispatcher->inFlight());
         m_callerServer->stopAccepting();
         return; // callers that connected just before are answered first
     }
-    if (!quiet && since < m_settings.stopLimit - StopMargin) {
+    if (!quiet && now < m_stop->exitAt()) {
         return;
     }
     m_stopTimer.cancel();
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -8,10 +8,11 @@
 // changes from peers (see StoreWatcherSelection, StateExchange). A node reads the list of targets from the store itself, since it
 // knows no peers before. With a configuration and a list of targets it is ready, unless it is stopping.
 //
-// How a stop proceeds, within `stopLimit` (from SIGTERM to SIGKILL): the platform's health page and /readyz answer 503 at once,
-// while requests that still arrive are served. When no request is in flight and none has arrived for `QuietPeriodBeforeExit`, or
-// after `AcceptFractionOfStop` of the time, the listening socket is closed and new requests are refused as "not-run". `run` ends
-// when after that no request is in flight and none has arrived for `QuietPeriodBeforeExit`, in any case `StopMargin` before SIGKILL.
+// How a stop proceeds, in the times of StopSchedule: the platform's health page and /readyz answer 503 at once, while requests that
+// still arrive are served. Requests get the stop's latest deadline if theirs is later, also those in flight; exit nodes are told.
+// When no request is in flight and none has arrived for `QuietPeriodBeforeExit`, or when the time to accept is over, the listening
+// socket is closed and new requests are refused as "not-run". `run` ends when after that no request is in flight and none has
+// arrived for `QuietPeriodBeforeExit`, in any case at the schedule's exit time.
 //
 // Pitfall: reloaded settings take effect where components read them at each use; bound addresses do not change.
 #pragma once
@@ -22,6 +23,7 @@
 #include "forward/storeclient.h"
 #include "forward/targetdispatcher.h"
 #include "mesh/linkselection.h"
+#include "mesh/stopschedule.h"
 
 #include <sys/types.h>
 
@@ -114,7 +116,7 @@
     unsigned m_maintenanceRuns = 0;
     ScopedTimer m_storeWatchTimer;
     ScopedTimer m_stopTimer;
-    std::optional<TimePoint> m_stopSince;
+    std::optional<StopSchedule> m_stop; ///< set when the stop begins
     std::optional<TimePoint> m_acceptStoppedAt; ///< since when the stop refuses new requests
 
     Counter *m_configurationsApplied = nullptr;
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -96,6 +96,19 @@
         }
     }
 
+    void shortenDeadline(std::uint64_t id, TimePoint deadline)
+    {
+        const auto it = m_requests.find(id);
+        if (it == m_requests.end()) {
+            return;
+        }
+        if (it->second.unsent) {
+            it->second.unsent->deadline = std::min(it->second.unsent->deadline, deadline);
+        } else if (isUp()) {
+            m_tcp->write(encodeDeadline(id, deadline, m_links.m_loop.turnTime()));
+        }
+    }
+
     void write(const std::string &frame)
     {
         if (isUp()) {
@@ -334,6 +347,13 @@
         }
     }
 
+    void shortenDeadline(TimePoint deadline) override
+    {
+        if (const auto link = m_link.lock()) {
+            (*link)->shortenDeadline(m_id, deadline);
+        }
+    }
+
 private:
     std::weak_ptr<Link *> m_link;
     std::uint64_t m_id;
@@ -390,29 +410,24 @@
         return isOtherDataCentre && !isInUse && now - m_lastHeartbeatAt < IdleHeartbeatPeriod;
     }
 
-    /// Remaining bytes of the smallest large answer that can be sent now; 0 if there is none.
-    std::size_t smallestLargeRemainder() const
+    /// Adds the large answers that can be sent now.
+    void appendLargeAnswers(std::vector<LargeAnswer> &answers)
     {
-        std::size_t least = 0;
+        if (!hasBufferSpace()) {
+            return;
+        }
         for (const auto &[id, exchange] : m_exchanges) {
-            const bool isSendable = exchange->isLarge && !exchange->pendingAnswer.empty() && exchange->answerCredit > 0;
-            if (isSendable && hasBufferSpace() && (least == 0 || exchange->pendingAnswer.size() < least)) {
-                least = exchange->pendingAnswer.size();
+            if (exchange->isLarge && !exchange->pendingAnswer.empty() && exchange->answerCredit > 0) {
+                answers.push_back({this, id, {exchange->pendingAnswer.size(), std::min(exchange->deadline, m_links.m_latestDeadline)}});
             }
         }
-        return least;
     }
 
-    /// Sends one piece of a large answer that has `remaining` bytes left.
-    void sendLargePiece(std::size_t remaining)
+    void sendLargePiece(std::uint64_t id)
     {
-        for (auto it = m_exchanges.begin(); it != m_exchanges.end(); ++it) {
-            if (it->second->isLarge && it->second->pendingAnswer.size() == remaining && it->second->answerCredit > 0) {
-                sendPiece(it->first, *it->second);
-                endIfSent(it);
-                return;
-            }
-        }
+        const auto it = m_exchanges.find(id);
+        sendPiece(it->first, *it->second);
+        endIfSent(it);
     }
 
     std::size_t largeBacklog() const
@@ -491,6 +506,7 @@
         }
 
         std::unique_ptr<ForwardStream> stream;
+        TimePoint deadline; ///< the entry node gives up at this time
         std::string pendingAnswer; ///< answer bytes not sent yet
         bool isLarge = false; ///< paced, together with the other large answers, to the bandwidth of the host's link
         std::size_t answerCredit = StreamWindow; ///< bytes of the answer that the entry node accepts now
@@ -536,6 +552,9 @@
             const auto cancelled = m_exchanges.extract(frame.message_as_Cancel()->stream());
             break;
         }
+        case MeshWire::LinkMessage::Deadline:
+            shortenDeadline(*frame.message_as_Deadline(), now);
+            break;
         case MeshWire::LinkMessage::StateNews:
             m_links.m_events.onStateNews(*frame.message_as_StateNews());
             break;
@@ -574,7 +593,21 @@
         const auto id = open.stream();
         m_lastExchangeAt = now;
         auto &exchange = *m_exchanges.insert_or_assign(id, std::make_unique<Exchange>(*this, id)).first->second;
-        exchange.stream = m_links.m_forwarder.open(decodeOpen(open, now, m_offset.transitTime(open.sent_at(), now)), exchange);
+        auto request = decodeOpen(open, now, m_offset.transitTime(open.sent_at(), now));
+        exchange.deadline = request.deadline;
+        exchange.stream = m_links.m_forwarder.open(std::move(request), exchange);
+    }
+
+    void shortenDeadline(const MeshWire::Deadline &frame, TimePoint now)
+    {
+        const auto deadline = now + microseconds(frame.remaining_us()) - m_offset.transitTime(frame.sent_at(), now);
+        const auto it = m_exchanges.find(frame.stream());
+        if (it == m_exchanges.end() || it->second->deadline <= deadline) {
+            return;
+        }
+        it->second->deadline = deadline;
+        it->second->stream->shortenDeadline(deadline);
+        m_links.sendLargeAnswers();
     }
 
     void handleRequestBody(const MeshWire::RequestBody &body)
@@ -787,29 +820,24 @@
     return bytes;
 }
 
-void PeerLinks::setStopping(const std::string &host, bool stopping)
+void PeerLinks::beginStopping(TimePoint latestDeadline)
 {
-    if (stopping) {
-        m_stoppingHosts.insert(host);
-    } else {
-        m_stoppingHosts.erase(host);
-    }
+    m_latestDeadline = latestDeadline;
 }
 
-/// The link whose large answer is to be sent next; null if there is none.
-PeerLinks::InboundLink *PeerLinks::nextLargeAnswer() const
+std::optional<PeerLinks::LargeAnswer> PeerLinks::nextLargeAnswer(TimePoint now) const
 {
-    InboundLink *next = nullptr;
-    std::pair<bool, std::size_t> least;
+    std::vector<LargeAnswer> answers;
     for (const auto &[key, link] : m_inbound) {
-        const auto remaining = link->smallestLargeRemainder();
-        const std::pair order{!m_stoppingHosts.contains(link->peer().host), remaining};
-        if (remaining > 0 && (next == nullptr || order < least)) {
-            next = key;
-            least = order;
-        }
+        link->appendLargeAnswers(answers);
+    }
+    std::vector<PendingAnswer> pending;
+    pending.reserve(answers.size());
+    for (const auto &each : answers) {
+        pending.push_back(each.pending);
     }
-    return next;
+    const auto n = nextAnswer(now, pending, m_pacer);
+    return n ? std::optional(answers[*n]) : std::nullopt;
 }
 
 /// Sends pieces of the large answers of all links as far as the bandwidth of the host's link allows. Otherwise starts a timer
@@ -821,12 +849,12 @@
     }
     m_sendingLargeAnswers = true;
     const auto now = m_loop.turnTime();
-    while (auto *next = nextLargeAnswer()) {
+    while (const auto next = nextLargeAnswer(now)) {
         if (!m_pacer.maySend(now)) {
             m_pacerTimer.start(m_loop.timers(), m_pacer.nextAt(now) - now, [this](TimePoint) { sendLargeAnswers(); });
             break;
         }
-        next->sendLargePiece(next->smallestLargeRemainder());
+        next->link->sendLargePiece(next->stream);
     }
     m_sendingLargeAnswers = false;
 }
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -14,17 +14,17 @@
 // that peers learn of it at once. Heartbeats and state messages of peers are passed to `LinkEvents`.
 //
 // Pitfall: many answers share a link, so their bodies are sent in pieces. Answers up to `MaxSmallResponseBytes` are sent at
-// once; larger ones share the bandwidth of the host's link: first those to nodes that are stopping, which must end within
-// their time to stop, then the one with the fewest remaining bytes. So a large answer is delayed while shorter ones are pending.
+// once; larger ones share the bandwidth of the host's link in the order of mesh/answerorder.h. So a large answer is delayed while
+// shorter ones are pending, as far as its deadline allows.
 #pragma once
 
 #include "forward/linkcodec.h"
 #include "kernel/metrics.h"
 #include "loop/tcpstream.h"
-#include "mesh/uplinkpacer.h"
+#include "mesh/answerorder.h"
 
 #include <map>
-#include <set>
+#include <optional>
 #include <unordered_map>
 
 namespace Fescuenotch {
@@ -74,8 +74,8 @@
     /// Sends a heartbeat to all linked nodes without waiting for the period, for example when the target's report has changed much.
     void sendHeartbeatsNow();
     bool isUp(const Endpoint &peer) const;
-    /// Whether the node on a host is stopping. Large answers to such nodes are sent first. Call with false when the host is gone.
-    void setStopping(const std::string &host, bool stopping);
+    /// This node stops: large answers to peers must be sent by `latestDeadline`, whatever their own deadlines.
+    void beginStopping(TimePoint latestDeadline);
     const UplinkPacer &uplink() const
     {
         return m_pacer;
@@ -98,7 +98,13 @@
     void removeOutbound(OutboundLink &link);
     void removeInbound(InboundLink &link);
     void tick(TimePoint now);
-    InboundLink *nextLargeAnswer() const;
+    struct LargeAnswer {
+        InboundLink *link = nullptr;
+        std::uint64_t stream = 0;
+        PendingAnswer pending;
+    };
+
+    std::optional<LargeAnswer> nextLargeAnswer(TimePoint now) const;
     void sendLargeAnswers();
 
     EventLoop &m_loop;
@@ -112,7 +118,7 @@
     UplinkPacer m_pacer;
     ScopedTimer m_pacerTimer; ///< runs while large answers wait for bandwidth
     bool m_sendingLargeAnswers = false;
-    std::set<std::string> m_stoppingHosts; ///< large answers to their nodes are sent first
+    TimePoint m_latestDeadline = TimePoint::max(); ///< of all answers; set when this node stops
 
     Counter &m_opened;
     Counter &m_lost;
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -66,6 +66,7 @@
         , m_request(std::move(request))
         , m_listener(&listener)
         , m_enqueuedAt(dispatcher.m_loop.turnTime())
+        , m_transferTime(dispatcher.answerTransferTime(m_request))
     {
     }
 
@@ -77,8 +78,7 @@
     /// Goal and deadline are those of the request less the time that the answer needs to reach the entry node.
     AdmissionRequest admissionRequest() const
     {
-        const auto transferTime = m_dispatcher.answerTransferTime(m_request);
-        return {m_id, m_request.route, m_request.priority, m_request.goal - transferTime, m_request.deadline - transferTime};
+        return {m_id, m_request.route, m_request.priority, m_request.goal - m_transferTime, m_request.deadline - m_transferTime};
     }
 
     void start()
@@ -86,7 +86,7 @@
         const auto now = m_dispatcher.m_loop.turnTime();
         m_startedAt = now;
         m_dispatcher.m_waitTime.record(now - m_enqueuedAt);
-        m_deadlineTimer.start(m_dispatcher.m_loop.timers(), m_request.deadline - now, [this](TimePoint) { abort(Reason::DeadlinePassed); });
+        startDeadlineTimer();
         sendOn(m_dispatcher.acquireConnection(m_request));
     }
 
@@ -143,6 +143,20 @@
         }
     }
 
+    void shortenDeadline(TimePoint deadline)
+    {
+        if (deadline >= m_request.deadline) {
+            return;
+        }
+        m_request.deadline = deadline;
+        if (isRunning()) {
+            startDeadlineTimer();
+        } else {
+            const auto now = m_dispatcher.m_loop.turnTime();
+            m_dispatcher.apply(m_dispatcher.m_queue.shortenDeadline(now, m_id, admissionRequest().deadline));
+        }
+    }
+
     void onTargetAnswer(ForwardAnswer answer) override
     {
         m_status = answer.status;
@@ -189,6 +203,12 @@
     }
 
 private:
+    void startDeadlineTimer()
+    {
+        const auto left = m_request.deadline - m_dispatcher.m_loop.turnTime();
+        m_deadlineTimer.start(m_dispatcher.m_loop.timers(), left, [this](TimePoint) { abort(Reason::DeadlinePassed); });
+    }
+
     void sendOn(std::unique_ptr<TargetConnection> connection)
     {
         m_connection = std::move(connection);
@@ -313,6 +333,7 @@
     ForwardRequest m_request;
     ForwardListener *m_listener; ///< null after the end was reported or the request was cancelled
     TimePoint m_enqueuedAt;
+    Duration m_transferTime; ///< expected on arrival, see answerTransferTime
     TimePoint m_startedAt;
     ScopedTimer m_deadlineTimer;
     std::unique_ptr<TargetConnection> m_connection;
@@ -365,6 +386,20 @@
         }
     }
 
+    void shortenDeadline(TimePoint deadline) override
+    {
+        // Deferred, since it may end the request.
+        if (m_alive.expired()) {
+            return;
+        }
+        // Deferred, since it may end the request.
+        m_dispatcher.m_loop.defer([&dispatcher = m_dispatcher, alive = m_alive, id = m_id, deadline] {
+            if (!alive.expired()) {
+                dispatcher.shortenDeadline(id, deadline);
+            }
+        });
+    }
+
 private:
     ActiveRequest *find() const
     {
@@ -673,9 +708,24 @@
     m_refusedSinceLog = 0;
 }
 
-void TargetDispatcher::beginLeaving()
+void TargetDispatcher::beginLeaving(TimePoint latestDeadline)
 {
     m_leaving = true;
+    std::vector<AdmissionId> ids;
+    for (const auto &[id, active] : m_requests) {
+        ids.push_back(id);
+    }
+    for (const auto id : ids) { // shortening a deadline may end requests
+        shortenDeadline(id, latestDeadline);
+    }
+}
+
+void TargetDispatcher::shortenDeadline(AdmissionId id, TimePoint deadline)
+{
+    const auto it = m_requests.find(id);
+    if (it != m_requests.end()) {
+        it->second->shortenDeadline(deadline);
+    }
 }
 
 TargetReport TargetDispatcher::report() const
--- a/src/forward/targetdispatcher.h
+++ b/src/forward/targetdispatcher.h
@@ -29,8 +29,8 @@
     std::unique_ptr<ForwardStream> open(ForwardRequest request, ForwardListener &listener) override;
     /// Applies the target's entry in the list of targets; null if no target is listed at this host's address.
     void setTarget(const TargetRecord *target);
-    /// Refuses new requests from now on; running and queued ones go on.
-    void beginLeaving();
+    /// Refuses new requests from now on; running and queued ones go on, until `latestDeadline` at most.
+    void beginLeaving(TimePoint latestDeadline);
     /// Logs the load of the target if requests are waiting, or were refused since the last line.
     void logLoad();
     TargetReport report() const;
@@ -62,6 +62,7 @@
     Reason refusalReason(const ForwardRequest &request) const;
     void apply(const QueueChanges &changes);
     void startRequest(AdmissionId id);
+    void shortenDeadline(AdmissionId id, TimePoint deadline);
     void refuse(AdmissionId id, const AdmissionVerdict &verdict);
     void removeRequest(AdmissionId id, Outcome outcome);
     /// `serviceTime` is zero if it is not representative, for example after a rejection.
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -76,6 +76,7 @@
     virtual void sendBody(std::string_view bytes, bool last) = 0;
     virtual bool isReadyForBody() const = 0; ///< if false, wait for `onReadyForBody`
     virtual void grantCredit(std::size_t bytes) = 0; ///< `bytes` more of the answer may be sent, since as many were consumed
+    virtual void shortenDeadline(TimePoint deadline) = 0; ///< the entry side gives up at this earlier time; a later one changes nothing
 };
 
 class Forwarder
--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -251,6 +251,20 @@
     return changes;
 }
 
+QueueChanges AdmissionQueue::shortenDeadline(TimePoint now, AdmissionId id, TimePoint deadline)
+{
+    QueueChanges changes;
+    const auto position = m_positions.find(id);
+    if (position == m_positions.end()) {
+        return changes;
+    }
+    auto &waiting = m_waiting.at(position->second);
+    waiting.request.deadline = std::min(waiting.request.deadline, deadline);
+    waiting.expiresAt = std::min(waiting.expiresAt, waiting.request.deadline - m_times.of(waiting.request.kind));
+    refuseExpired(now, changes);
+    return changes;
+}
+
 QueueChanges AdmissionQueue::tick(TimePoint now)
 {
     QueueChanges changes;
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -95,6 +95,8 @@
     QueueChanges finished(TimePoint now, AdmissionId id, Duration service);
     /// The entry node cancelled a waiting request.
     QueueChanges cancel(TimePoint now, AdmissionId id);
+    /// The entry node gives a waiting request less time; does nothing for other requests and later deadlines.
+    QueueChanges shortenDeadline(TimePoint now, AdmissionId id, TimePoint deadline);
     /// Refuses waiting requests that can no longer be served in time.
     QueueChanges tick(TimePoint now);
     TimePoint nextTick() const; ///< TimePoint::max() when no request waits
--- a/src/wire/mesh_generated.h
+++ b/src/wire/mesh_generated.h
@@ -53,6 +53,9 @@
 struct Cancel;
 struct CancelBuilder;
 
+struct Deadline;
+struct DeadlineBuilder;
+
 struct RouteRecord;
 struct RouteRecordBuilder;
 
@@ -127,11 +130,12 @@
   StateNews = 10,
   StateRequest = 11,
   Beat = 12,
+  Deadline = 13,
   MIN = NONE,
-  MAX = Beat
+  MAX = Deadline
 };
 
-inline const LinkMessage (&EnumValuesLinkMessage())[13] {
+inline const LinkMessage (&EnumValuesLinkMessage())[14] {
   static const LinkMessage values[] = {
     LinkMessage::NONE,
     LinkMessage::Greeting,
@@ -145,13 +149,14 @@
     LinkMessage::Cancel,
     LinkMessage::StateNews,
     LinkMessage::StateRequest,
-    LinkMessage::Beat
+    LinkMessage::Beat,
+    LinkMessage::Deadline
   };
   return values;
 }
 
 inline const char * const *EnumNamesLinkMessage() {
-  static const char * const names[14] = {
+  static const char * const names[15] = {
     "NONE",
     "Greeting",
     "Pulse",
@@ -165,13 +170,14 @@
     "StateNews",
     "StateRequest",
     "Beat",
+    "Deadline",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameLinkMessage(LinkMessage e) {
-  if (flatbuffers::IsOutRange(e, LinkMessage::NONE, LinkMessage::Beat)) return "";
+  if (flatbuffers::IsOutRange(e, LinkMessage::NONE, LinkMessage::Deadline)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesLinkMessage()[index];
 }
@@ -228,6 +234,10 @@
   static const LinkMessage enum_value = LinkMessage::Beat;
 };
 
+template<> struct LinkMessageTraits<Fescuenotch::MeshWire::Deadline> {
+  static const LinkMessage enum_value = LinkMessage::Deadline;
+};
+
 bool VerifyLinkMessage(flatbuffers::Verifier &verifier, const void *obj, LinkMessage type);
 bool VerifyLinkMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<LinkMessage> *types);
 
@@ -1385,6 +1395,67 @@
   return builder_.Finish();
 }
 
+struct Deadline FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DeadlineBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STREAM = 4,
+    VT_SENT_AT = 6,
+    VT_REMAINING_US = 8
+  };
+  uint64_t stream() const {
+    return GetField<uint64_t>(VT_STREAM, 0);
+  }
+  int64_t sent_at() const {
+    return GetField<int64_t>(VT_SENT_AT, 0);
+  }
+  int64_t remaining_us() const {
+    return GetField<int64_t>(VT_REMAINING_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
+           VerifyField<int64_t>(verifier, VT_REMAINING_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct DeadlineBuilder {
+  typedef Deadline Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_stream(uint64_t stream) {
+    fbb_.AddElement<uint64_t>(Deadline::VT_STREAM, stream, 0);
+  }
+  void add_sent_at(int64_t sent_at) {
+    fbb_.AddElement<int64_t>(Deadline::VT_SENT_AT, sent_at, 0);
+  }
+  void add_remaining_us(int64_t remaining_us) {
+    fbb_.AddElement<int64_t>(Deadline::VT_REMAINING_US, remaining_us, 0);
+  }
+  explicit DeadlineBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Deadline> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Deadline>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Deadline> CreateDeadline(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t stream = 0,
+    int64_t sent_at = 0,
+    int64_t remaining_us = 0) {
+  DeadlineBuilder builder_(_fbb);
+  builder_.add_remaining_us(remaining_us);
+  builder_.add_sent_at(sent_at);
+  builder_.add_stream(stream);
+  return builder_.Finish();
+}
+
 struct RouteRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RouteRecordBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2264,6 +2335,9 @@
   const Fescuenotch::MeshWire::Beat *message_as_Beat() const {
     return message_type() == Fescuenotch::MeshWire::LinkMessage::Beat ? static_cast<const Fescuenotch::MeshWire::Beat *>(message()) : nullptr;
   }
+  const Fescuenotch::MeshWire::Deadline *message_as_Deadline() const {
+    return message_type() == Fescuenotch::MeshWire::LinkMessage::Deadline ? static_cast<const Fescuenotch::MeshWire::Deadline *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -2321,6 +2395,10 @@
   return message_as_Beat();
 }
 
+template<> inline const Fescuenotch::MeshWire::Deadline *LinkFrame::message_as<Fescuenotch::MeshWire::Deadline>() const {
+  return message_as_Deadline();
+}
+
 struct LinkFrameBuilder {
   typedef LinkFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2405,6 +2483,10 @@
       auto ptr = reinterpret_cast<const Fescuenotch::MeshWire::Beat *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case LinkMessage::Deadline: {
+      auto ptr = reinterpret_cast<const Fescuenotch::MeshWire::Deadline *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/tests/mesh/admissionqueue_test.cpp
+++ b/tests/mesh/admissionqueue_test.cpp
@@ -193,6 +193,34 @@
     BOOST_TEST((queue.offer(now, read(milliseconds(50), milliseconds(100))).kind == Kind::Refuse));
 }
 
+/// The entry node of a waiting request stops: the request is refused as soon as it is known that its time no longer suffices.
+BOOST_AUTO_TEST_CASE(shortenDeadline_waitingRequestTooLate_isRefused)
+{
+    AdmissionQueue queue(slots(1));
+    learnServiceTime(queue, "read", milliseconds(100));
+    queue.offer(now, read());
+    const auto waiting = read(milliseconds(900), milliseconds(2'000));
+    BOOST_REQUIRE((queue.offer(now, waiting).kind == Kind::Wait));
+    BOOST_TEST(queue.shortenDeadline(now, waiting.id, now + milliseconds(500)).refused.empty());
+    const auto changes = queue.shortenDeadline(now, waiting.id, now + milliseconds(50));
+    BOOST_REQUIRE(changes.refused.size() == 1U);
+    BOOST_TEST(changes.refused[0].first == waiting.id);
+    BOOST_TEST((changes.refused[0].second.reason == Reason::WaitTooLong));
+    BOOST_TEST(queue.waiting() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(shortenDeadline_laterDeadline_changesNothing)
+{
+    AdmissionQueue queue(slots(1));
+    learnServiceTime(queue, "read", milliseconds(100));
+    queue.offer(now, read());
+    const auto waiting = read(milliseconds(900), milliseconds(2'000));
+    BOOST_REQUIRE((queue.offer(now, waiting).kind == Kind::Wait));
+    const auto before = queue.nextTick();
+    queue.shortenDeadline(now, waiting.id, now + seconds(5));
+    BOOST_TEST((queue.nextTick() == before));
+}
+
 BOOST_AUTO_TEST_CASE(waiting_higherPriorityBehindLower_startsFirst)
 {
     AdmissionQueue queue(slots(1));
--- /dev/null
+++ b/tests/mesh/answerorder_test.cpp
@@ -0,0 +1,109 @@
+#include "mesh/answerorder.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace Fescuenotch;
+
+namespace {
+
+constexpr std::size_t Kilobyte = 1'000;
+constexpr std::size_t Piece = 16 * 1024;
+const TimePoint Start{seconds(1'000)};
+
+/// A link of 8 Mbit/s of which nine tenths are used: 0.9 MB/s.
+struct LinkFixture {
+    UplinkPacer link{8};
+    std::vector<PendingAnswer> answers;
+
+    void add(std::size_t kilobytes, milliseconds timeLeft)
+    {
+        answers.push_back({kilobytes * Kilobyte, Start + timeLeft});
+    }
+
+    /// Sends all answers piece by piece; returns how many were completely sent by their deadlines.
+    std::size_t countInTime()
+    {
+        auto now = Start;
+        std::size_t inTime = 0;
+        while (const auto n = nextAnswer(now, answers, link)) {
+            const auto sent = std::min(Piece, answers[*n].remaining);
+            now += link.timeFor(sent);
+            answers[*n].remaining -= sent;
+            if (answers[*n].remaining == 0) {
+                inTime += now <= answers[*n].deadline ? 1 : 0;
+                answers.erase(answers.begin() + static_cast<std::ptrdiff_t>(*n));
+            }
+        }
+        return inTime;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AnswerOrderTest, LinkFixture)
+
+BOOST_AUTO_TEST_CASE(next_nothingPending_isEmpty)
+{
+    BOOST_TEST(!nextAnswer(Start, answers, link).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(next_timeForAll_isTheShortest)
+{
+    add(300, seconds(10));
+    add(50, seconds(20));
+    add(100, seconds(5));
+    BOOST_TEST(nextAnswer(Start, answers, link).value() == 1U);
+}
+
+/// Guards against the cut answers of incident inc1: a long answer to a node that is stopping waits behind shorter ones to others.
+BOOST_AUTO_TEST_CASE(next_longAnswerWouldMissItsDeadlineBehindShorterOnes_isSentFirst)
+{
+    for (int n = 0; n < 20; ++n) {
+        add(90, seconds(4));
+    }
+    add(400, milliseconds(800));
+    BOOST_TEST(nextAnswer(Start, answers, link).value() == 20U);
+    BOOST_TEST(countInTime() == 21U);
+}
+
+/// An answer that cannot be sent in time any more does not take the link from those that can.
+BOOST_AUTO_TEST_CASE(next_answerIsTooLateInAnyCase_othersAreSentFirst)
+{
+    add(900, milliseconds(500));
+    add(200, milliseconds(600));
+    BOOST_TEST(nextAnswer(Start, answers, link).value() == 1U);
+}
+
+/// Answers that are ready are delivered, also late.
+BOOST_AUTO_TEST_CASE(next_onlyLateAnswersLeft_areStillSentShortestFirst)
+{
+    add(900, milliseconds(-100));
+    add(800, milliseconds(-200));
+    BOOST_TEST(nextAnswer(Start, answers, link).value() == 1U);
+    BOOST_TEST(countInTime() == 0U);
+}
+
+/// A quarter of the fleet stops one node after the other while its answers share the link with those of the other nodes.
+BOOST_AUTO_TEST_CASE(stoppingSeries_linkCarriesAllInTime_noneIsLate)
+{
+    std::minstd_rand random(7);
+    std::uniform_int_distribution<unsigned> size(40, 140);
+    for (int n = 0; n < 10; ++n) {
+        add(size(random), milliseconds(1'000 + 250 * n)); // nodes that are stopping
+        add(size(random), milliseconds(4'000));
+    }
+    BOOST_TEST(countInTime() == 20U);
+}
+
+/// The link is asked for twice what it carries: as many answers as possible are in time, and no order by deadline makes all late.
+BOOST_AUTO_TEST_CASE(overload_twiceTheLink_halfIsInTime)
+{
+    for (int n = 0; n < 40; ++n) {
+        add(90, seconds(2)); // 20 of them take two seconds
+    }
+    BOOST_TEST(countInTime() >= 18U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
