Signals: received from the start of the program to its end

Callers of a stopping node lost their answers when a further SIGTERM, SIGINT or SIGHUP came, and every stop ended with the status of a signal and without its last log lines.

The log's writer thread was started before the signals were blocked, so it had them unblocked. While no other thread sat in sigwait, during a stop and while a reload was handed over, it took them with their default action, which ends the process. In a node without an adapter SIGHUP was never blocked, and a second SIGTERM was set to kill.

The signals are now blocked before a command that handles them runs, so that each thread inherits the mask, and received by a thread of their own until the process ends. The loop runs in the main thread, so nothing has to wake it. SIGPIPE is ignored from the same point on, before the log is written. Since the end of a stop now waits for the log, it wakes the log's writer.

--- a/src/commands/check.cpp
+++ b/src/commands/check.cpp
@@ -103,7 +103,7 @@
     return errors.empty() ? ExitOk : ExitFailed;
 }
 
-const CommandRegistration registration("check", "check files of documents or settings as a node would", runCheck);
+const CommandRegistration registration("check", {"check files of documents or settings as a node would", runCheck});
 
 } // namespace
 
--- a/src/commands/commands.cpp
+++ b/src/commands/commands.cpp
@@ -1,5 +1,7 @@
 #include "commands/commands.h"
 
+#include "kernel/signalthread.h"
+
 #include <cstdio>
 
 namespace Fescuenotch {
@@ -28,8 +30,8 @@
     return ExitOk;
 }
 
-const CommandRegistration helpRegistration("help", "list the commands", runHelp);
-const CommandRegistration versionRegistration("version", "print the version", runVersion);
+const CommandRegistration helpRegistration("help", {"list the commands", runHelp});
+const CommandRegistration versionRegistration("version", {"print the version", runVersion});
 
 } // namespace
 
@@ -39,9 +41,9 @@
     return all;
 }
 
-CommandRegistration::CommandRegistration(const std::string &name, const std::string &summary, std::function<int(const std::vector<std::string> &)> run)
+CommandRegistration::CommandRegistration(const std::string &name, const Command &command)
 {
-    commands()[name] = {summary, std::move(run)};
+    commands()[name] = command;
 }
 
 int runCommand(const std::vector<std::string> &args)
@@ -55,6 +57,9 @@
         std::fprintf(stderr, "fescuenotch: '%s' is no command; run fescuenotch help\n", name.c_str());
         return ExitUsage;
     }
+    if (it->second.handlesSignals) {
+        prepareSignals(); // first, since every thread that is started later inherits the mask
+    }
     return it->second.run({args.begin() + 1, args.end()});
 }
 
--- a/src/commands/commands.h
+++ b/src/commands/commands.h
@@ -1,7 +1,7 @@
 // Commands of the program. Each registers itself by name; `runCommand` finds it.
 //
 // How to use, in a command's .cpp file:
-//   static const CommandRegistration registration("check", "check documents as a node would", runCheck);
+//   static const CommandRegistration registration("check", {"check documents as a node would", runCheck});
 #pragma once
 
 #include <functional>
@@ -19,6 +19,7 @@
 struct Command {
     std::string summary;
     std::function<int(const std::vector<std::string> &args)> run;
+    bool handlesSignals = false; ///< receives SIGTERM, SIGINT and SIGHUP by a SignalThread
 };
 
 std::map<std::string, Command> &commands();
@@ -26,7 +27,7 @@
 class CommandRegistration
 {
 public:
-    CommandRegistration(const std::string &name, const std::string &summary, std::function<int(const std::vector<std::string> &)> run);
+    CommandRegistration(const std::string &name, const Command &command);
 };
 
 /// Runs the command that args[0] names with the rest of the arguments; gives the exit code.
--- a/src/commands/explain.cpp
+++ b/src/commands/explain.cpp
@@ -96,7 +96,7 @@
     return story.lines().empty() ? ExitFailed : ExitOk;
 }
 
-const CommandRegistration registration("explain", "print the story of one request from logs", runExplain);
+const CommandRegistration registration("explain", {"print the story of one request from logs", runExplain});
 
 } // namespace
 
--- a/src/commands/meshnode.cpp
+++ b/src/commands/meshnode.cpp
@@ -5,6 +5,7 @@
 #include "kernel/logging.h"
 #include "kernel/plugin.h"
 #include "kernel/settings.h"
+#include "kernel/signalthread.h"
 #include "plugins/interfaces.h"
 
 #include <popt.h>
@@ -14,9 +15,6 @@
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
-#include <thread>
-
-#include <unistd.h>
 
 namespace Fescuenotch {
 
@@ -117,32 +115,6 @@
     return options;
 }
 
-sigset_t handledSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    return signals;
-}
-
-/// Hands signals to the node until it is told to stop.
-void watchSignals(MeshNode &node, const sigset_t &signals)
-{
-    for (;;) {
-        int number = 0;
-        if (::sigwait(&signals, &number) != 0) {
-            continue;
-        }
-        if (number != SIGHUP) {
-            node.beginStop();
-            return;
-        }
-        node.reload();
-    }
-}
-
 Result<int> startAndRun(const std::vector<std::string> &args)
 {
     BOOST_LEAF_AUTO(flags, parseFlags(args));
@@ -156,19 +128,12 @@
     BOOST_LEAF_AUTO(level, parseLogLevel(flags.level));
     BOOST_LEAF_AUTO(settings, adapter->readSettings());
     startBoundedLogging(level, settings.nodeName);
-    std::signal(SIGPIPE, SIG_IGN);
-    const auto signals = handledSignals();
-    ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     MeshNode node(std::move(adapter), options);
     BOOST_LEAF_CHECK(node.start());
-    std::thread loop([&node] {
-        node.run();
-        ::kill(::getpid(), SIGTERM); // ends the wait for signals when the node left by itself
-    });
-    watchSignals(node, signals);
-    loop.join();
+    const SignalThread signals([&node](int number) { number == SIGHUP ? node.reload() : node.beginStop(); });
+    node.run();
     // The worker may still parse a large configuration, for seconds on a small share of a processor. Nothing that it or the
-    // node holds outlives the process, so neither is waited for.
+    // node holds outlives the process, so neither is waited for. Signals are received until the end.
     stopBoundedLogging();
     std::fflush(nullptr);
     std::_Exit(ExitOk);
--- a/src/commands/node.cpp
+++ b/src/commands/node.cpp
@@ -1,11 +1,12 @@
-// fescuenotch node: runs one node until SIGTERM or SIGINT.
+// fescuenotch node: runs one node until SIGTERM, SIGINT or SIGHUP; with an adapter SIGHUP reads the settings again.
 #include "node/node.h"
 #include "commands/commands.h"
 #include "commands/meshnode.h"
 #include "kernel/logging.h"
+#include "kernel/signalthread.h"
 
-#include <csignal>
 #include <cstdio>
+#include <semaphore>
 
 namespace Fescuenotch {
 
@@ -21,22 +22,30 @@
     return false;
 }
 
-sigset_t stopSignals()
+/// Blocks until a signal asks the node to stop. Later ones are logged and change nothing.
+class StopRequest
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
+public:
+    void wait()
+    {
+        m_requested.acquire();
+    }
 
-/// A second signal ends the wait for requests in flight.
-void endAtSecondSignal(const sigset_t &signals)
-{
-    std::signal(SIGTERM, SIG_DFL);
-    std::signal(SIGINT, SIG_DFL);
-    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
-}
+private:
+    void receive(int number)
+    {
+        if (m_stopping) {
+            logEvent(LogLevel::Info, "already_stopping").with("signal", signalName(number));
+            return;
+        }
+        m_stopping = true;
+        m_requested.release();
+    }
+
+    std::binary_semaphore m_requested{0};
+    bool m_stopping = false; ///< used by the signal thread
+    SignalThread m_signals{[this](int number) { receive(number); }};
+};
 
 int runNode(const std::vector<std::string> &args)
 {
@@ -54,24 +63,20 @@
     }
     const auto &settings = std::get<0>(parsed);
     startLogging(settings.logLevel, settings.host);
-    std::signal(SIGPIPE, SIG_IGN);
-    const auto signals = stopSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     Node node(settings);
     const auto error = errorOf([&] { return node.start(); });
     if (error) {
         logEvent(LogLevel::Error, "node_not_started").with(*error);
         return ExitFailed;
     }
-    int number = 0;
-    sigwait(&signals, &number);
-    endAtSecondSignal(signals);
+    StopRequest stop;
+    stop.wait();
     node.leave();
     node.stop();
     return ExitOk;
 }
 
-const CommandRegistration registration("node", "run a node on this host", runNode);
+const CommandRegistration registration("node", {"run a node on this host", runNode, true});
 
 } // namespace
 
--- a/src/commands/status.cpp
+++ b/src/commands/status.cpp
@@ -160,7 +160,7 @@
     return ExitOk;
 }
 
-const CommandRegistration registration("status", "show how far each profile has spread", runStatus);
+const CommandRegistration registration("status", {"show how far each profile has spread", runStatus});
 
 } // namespace
 
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -502,7 +502,13 @@
 
 void MeshNode::reload()
 {
-    m_loop.post([this] { readChangedSettings(); });
+    m_loop.post([this] {
+        if (m_stopSince) {
+            logEvent(LogLevel::Info, "already_stopping").with("asked_for", "reload");
+            return;
+        }
+        readChangedSettings();
+    });
 }
 
 /// Polled, since the platform may replace the settings file without sending a signal.
@@ -527,6 +533,7 @@
     }
     const auto &settings = std::get<DeploymentSettings>(read);
     if (settings == m_settings) {
+        logEvent(LogLevel::Info, "settings_unchanged");
         return;
     }
     logEvent(LogLevel::Info, "settings_reloaded").with("service", settings.service).with("target", toString(settings.targetAddress));
@@ -537,6 +544,7 @@
 {
     m_loop.post([this] {
         if (m_stopSince) {
+            logEvent(LogLevel::Info, "already_stopping").with("asked_for", "stop");
             return;
         }
         m_stopSince = m_loop.turnTime();
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -41,8 +41,8 @@
 
     Result<void> start();
     void run(); ///< blocks until the stop is complete
-    void reload(); ///< reads the settings again
-    void beginStop(); ///< serves what is in flight, then ends `run`
+    void reload(); ///< reads the settings again; ignored during a stop
+    void beginStop(); ///< serves what is in flight, then ends `run`; ignored during a stop
 
 private:
     // Components, created once the settings are known.
--- a/src/kernel/logring.cpp
+++ b/src/kernel/logring.cpp
@@ -111,6 +111,7 @@
     {
         std::unique_lock lock(m_mutex);
         const auto until = Clock::now() + limit;
+        m_changed.notify_all();
         while (!m_lines.empty() && Clock::now() < until) {
             lock.unlock();
             std::this_thread::sleep_for(milliseconds(5));
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -37,9 +37,12 @@
 }
 
 /// The environment without the variables that only tests read; a node refuses those that it does not know.
-std::vector<char *> childEnvironment()
+std::vector<char *> childEnvironment(std::vector<std::string> &added)
 {
     std::vector<char *> kept;
+    for (auto &each : added) {
+        kept.push_back(each.data());
+    }
     for (char **it = environ; *it != nullptr; ++it) {
         const std::string_view entry = *it;
         const bool ours = entry.rfind("FESCUENOTCH_BUILD=", 0) == 0 || entry.rfind("FESCUENOTCH_TEST_NET=", 0) == 0;
@@ -76,7 +79,7 @@
         argv.push_back(arg.data());
     }
     argv.push_back(nullptr);
-    const auto environment = childEnvironment();
+    const auto environment = childEnvironment(m_command.environment);
     const pid_t parent = getpid();
     const pid_t child = fork();
     if (child == 0) {
--- a/standins/process.h
+++ b/standins/process.h
@@ -18,6 +18,7 @@
     std::string program; ///< path
     std::vector<std::string> args; ///< without the program
     std::string logFile; ///< appended to
+    std::vector<std::string> environment = {}; ///< NAME=value, added to the environment of this process
 };
 
 class ChildProcess
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -105,26 +105,6 @@
     return value == nullptr ? std::string() : *value;
 }
 
-nlohmann::json routeJson(const std::string &name, const std::string &prefix, const std::string &type, const std::string &service, milliseconds timeout)
-{
-    return {{"name", name},
-            {"host", "desk"},
-            {"prefix", prefix},
-            {"route_type", type},
-            {"timeout", std::to_string(timeout.count()) + "ms"},
-            {"latency_goal", std::to_string(timeout.count() / 2) + "ms"},
-            {"priority", 1},
-            {"service", service},
-            {"max_attempts", 2}};
-}
-
-std::string versionText(std::uint64_t version)
-{
-    std::array<char, 9> text{};
-    std::snprintf(text.data(), text.size(), "%08x", static_cast<unsigned>(version));
-    return text.data();
-}
-
 } // namespace
 
 // ---- [target] ---------------------------------------------------------------------------------------------------
@@ -249,13 +229,7 @@
 
 void MeshFixture::publish(std::uint64_t version, const std::string &readService, milliseconds timeout)
 {
-    nlohmann::json json{{"version", versionText(version)},
-                        {"services", {{{"name", "desk"}}, {{"name", "feed"}}}},
-                        {"limits", {{"max_header_bytes", 16'384}, {"max_body_bytes", 8'388'608}, {"header_timeout", "1s"}, {"idle_timeout", "5s"}}}};
-    json["routes"] = {routeJson("read", "/read/", "idempotent", readService, timeout),
-                      routeJson("file", "/file/", "non_idempotent", "desk", timeout),
-                      routeJson("feed", "/feed/", "download", "feed", timeout)};
-    store.put("op/config", json.dump());
+    store.put("op/config", configurationText(version, readService, timeout));
 }
 
 void MeshFixture::waitReady()
--- /dev/null
+++ b/tests/support/nodeprocess.h
@@ -0,0 +1,152 @@
+// Real node processes for tests and the soak: each with a settings file as the platform writes it, a target beside it that runs
+// in this process, and callers that keep their connections open.
+//
+// How to use: put entries and a configuration into a StoreStandin, create a NodeProcess for each host, `start`, `waitReady`; run
+// a KeptCaller for each connection wanted; send signals through `process()`; then judge by `outcomes()` and the RunJournal.
+// Paths end with the time that a target takes, in ms, and for large answers the bytes: /file/300, /feed/0/100000.
+#pragma once
+
+#include "kernel/clock.h"
+#include "kernel/endpoint.h"
+#include "standins/httpserver.h"
+#include "standins/process.h"
+#include "tests/support/rawsocket.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Fescuenotch::Tests {
+
+/// Counts how often each request ran, over all targets.
+class RunJournal
+{
+public:
+    void add(const std::string &requestId);
+    unsigned runs(const std::string &requestId) const;
+    std::size_t total() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, unsigned> m_runs;
+};
+
+/// A target in the platform's manner. Its answer begins with the id of the request.
+class PlatformTarget
+{
+public:
+    PlatformTarget(std::string id, const Endpoint &endpoint, RunJournal &journal);
+
+private:
+    Standins::ServerReply answer(const Standins::ServerCall &call);
+
+    std::string m_id;
+    RunJournal &m_journal;
+    std::unique_ptr<Standins::HttpServer> m_server;
+};
+
+struct NodePlace {
+    std::string folder; ///< of the settings file and the log
+    std::string name;
+    std::string address; ///< IPv4 address under which peers know the host
+    std::string listenAddress; ///< IPv4 address of the node's own sockets; differs from `address` when a proxy stands before them
+    std::string service = "desk";
+    std::string dataCentre = "one";
+    Endpoint store;
+    milliseconds stopLimit{4'000}; ///< ms; from SIGTERM to SIGKILL
+};
+
+class NodeProcess
+{
+public:
+    explicit NodeProcess(const NodePlace &place);
+    std::string settingsText(const std::string &service) const;
+    void writeSettings(const std::string &text); ///< replaces the file in one step
+    void start(); ///< also after an earlier process has ended; throws when it cannot be started
+    bool isReady() const; ///< answers the platform's health check with 200
+    bool waitReady(milliseconds limit);
+    Standins::ChildProcess &process()
+    {
+        return m_process;
+    }
+    const NodePlace &place() const
+    {
+        return m_place;
+    }
+    Endpoint callerEndpoint() const;
+    Endpoint peerEndpoint() const; ///< on which the node listens for peers
+    Endpoint targetEndpoint() const;
+    std::string settingsPath() const;
+    std::string log() const; ///< of the last process
+    std::string lastLogLine() const;
+
+private:
+    NodePlace m_place;
+    Standins::ChildProcess m_process;
+};
+
+/// What a caller saw of one request.
+struct CallOutcome {
+    std::string id;
+    std::string path;
+    unsigned status = 0; ///< 0: no whole head
+    bool whole = false; ///< a whole answer
+    bool own = false; ///< with the bytes for this request
+    TimePoint sentAt;
+    TimePoint endedAt;
+    bool refused() const ///< states that the request has not run
+    {
+        return whole && (status == 503 || status == 429 || status == 421 || status == 408);
+    }
+};
+
+/// Sends requests one after the other on a connection that it keeps open as long as the node lets it.
+class KeptCaller
+{
+public:
+    KeptCaller(std::string name, const Endpoint &node, std::string path);
+    ~KeptCaller();
+    void stop(); ///< after the answer to the current request
+    const std::vector<CallOutcome> &outcomes() const; ///< after `stop`
+
+private:
+    void work();
+    void runConnection();
+
+    std::string m_name;
+    Endpoint m_node;
+    std::string m_path;
+    std::atomic<bool> m_stopped{false};
+    std::vector<CallOutcome> m_outcomes; ///< of the thread until it has ended
+    std::thread m_thread;
+};
+
+/// A new folder for the files of one test, removed at the end unless `keep` was called.
+class ScratchFolder
+{
+public:
+    ScratchFolder();
+    ~ScratchFolder();
+    const std::string &path() const
+    {
+        return m_path;
+    }
+    void keep()
+    {
+        m_kept = true;
+    }
+
+private:
+    std::string m_path;
+    bool m_kept = false;
+};
+
+/// Names of the threads of a process that do not block each of SIGTERM, SIGINT and SIGHUP. While a thread waits for signals, the
+/// kernel shows them as not blocked in it.
+std::vector<std::string> threadsThatTakeSignals(pid_t pid);
+
+} // namespace Fescuenotch::Tests
--- a/tests/support/storestandin.cpp
+++ b/tests/support/storestandin.cpp
@@ -31,6 +31,26 @@
     return key.compare(0, prefix.size(), prefix) == 0;
 }
 
+nlohmann::json routeJson(const std::string &name, const std::string &prefix, const std::string &type, const std::string &service, milliseconds timeout)
+{
+    return {{"name", name},
+            {"host", "desk"},
+            {"prefix", prefix},
+            {"route_type", type},
+            {"timeout", std::to_string(timeout.count()) + "ms"},
+            {"latency_goal", std::to_string(timeout.count() / 2) + "ms"},
+            {"priority", 1},
+            {"service", service},
+            {"max_attempts", 2}};
+}
+
+std::string versionText(std::uint64_t version)
+{
+    std::array<char, 9> text{};
+    std::snprintf(text.data(), text.size(), "%08x", static_cast<unsigned>(version));
+    return text.data();
+}
+
 } // namespace
 
 StoreStandin::StoreStandin(const Endpoint &endpoint)
@@ -182,4 +202,15 @@
     return json.dump();
 }
 
+std::string configurationText(std::uint64_t version, const std::string &readService, milliseconds timeout)
+{
+    nlohmann::json json{{"version", versionText(version)},
+                        {"services", {{{"name", "desk"}}, {{"name", "feed"}}}},
+                        {"limits", {{"max_header_bytes", 16'384}, {"max_body_bytes", 8'388'608}, {"header_timeout", "1s"}, {"idle_timeout", "5s"}}}};
+    json["routes"] = {routeJson("read", "/read/", "idempotent", readService, timeout),
+                      routeJson("file", "/file/", "non_idempotent", "desk", timeout),
+                      routeJson("feed", "/feed/", "download", "feed", timeout)};
+    return json.dump();
+}
+
 } // namespace Fescuenotch::Tests
--- a/tests/support/storestandin.h
+++ b/tests/support/storestandin.h
@@ -62,4 +62,8 @@
 /// Entry of a target in the store.
 std::string entryText(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state = "ready");
 
+/// A configuration for host "desk": /read/ (idempotent) to `readService`, /file/ (non-idempotent) to "desk", /feed/ (download) to
+/// "feed".
+std::string configurationText(std::uint64_t version, const std::string &readService, milliseconds timeout);
+
 } // namespace Fescuenotch::Tests
