--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -497,7 +497,13 @@
 
 void MeshNode::reload()
 {
-    m_loop.post([this] { readChangedSettings(); });
+    m_loop.post([this] {
+        if (m_stop) {
+            logEvent(LogLevel::Info, "already_stopping").with("asked_for", "reload");
+            return;
+        }
+        readChangedSettings();
+    });
 }
 
 /// Polled, since the platform may replace the settings file without sending a signal.
@@ -522,6 +528,7 @@
     }
     const auto &settings = std::get<DeploymentSettings>(read);
     if (settings == m_settings) {
+        logEvent(LogLevel::Info, "settings_unchanged");
         return;
     }
     logEvent(LogLevel::Info, "settings_reloaded").with("service", settings.service).with("target", toString(settings.targetAddress));
@@ -532,6 +539,7 @@
 {
     m_loop.post([this] {
         if (m_stop) {
+            logEvent(LogLevel::Info, "already_stopping").with("asked_for", "stop");
             return;
         }
         StopScheduleSettings schedule;
