Target connections: input is resumed when an answer ends

What callers saw: a request that runs and is answered by the target, but ends at its deadline. Cause: input of a connection to the target is paused at 256 KB of unsent answer. If the answer's end had been read by then, the connection went back to the idle ones paused, and the next request on it was never read. Before: targetConnection_reusedAfterPausedAnswer_nextAnswerIsRead failed (no answer to the second request within 5 s).

--- a/src/forward/targetconnection.cpp
+++ b/src/forward/targetconnection.cpp
@@ -241,6 +241,7 @@
     auto *events = m_events;
     m_events = nullptr;
     m_idleSince = m_loop.turnTime();
+    m_stream->resumeInput(); // the end of a large answer may have been read while input was paused
     events->onExchangeEnded({kind, m_answerStarted, m_idleTime, detail});
 }
 
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -112,6 +112,24 @@
     BOOST_TEST(answer.size() > large.size());
 }
 
+/// Guards against a request that hangs until its deadline: the connection to the target had been paused for a large answer on a slow
+/// link and was used again without being resumed.
+BOOST_AUTO_TEST_CASE(targetConnection_reusedAfterPausedAnswer_nextAnswerIsRead)
+{
+    constexpr std::size_t LargeBytes = 500'000; // beyond the window of a stream
+    addNode("desk");
+    linkMbps = 4;
+    addNode("feed");
+    target(1).setBehaviour([this](const Standins::ServerCall &call) {
+        return target(1).validReply(call, std::string(call.path.find("large") == std::string::npos ? 20'000 : LargeBytes, 'x'));
+    });
+    publish(1, "desk", seconds(6));
+    waitReady();
+    BOOST_TEST(isComplete(get(0, "/feed/large")));
+    BOOST_TEST(isComplete(get(0, "/feed/small")));
+    BOOST_TEST(contains(get(0, "/feed/small"), "200 OK"));
+}
+
 // ---- [callers] --------------------------------------------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(pipelinedRequests_firstIsSlow_runConcurrentlyAndAreAnsweredInOrder)
