Load balancing: forget that a node was stopping when its link is lost

Before: choose_nodeThatStoppedHasEnded_targetIsChosenAgain has no target (by the code; the test was run with the change only: passes).

--- a/src/mesh/loadbalancer.cpp
+++ b/src/mesh/loadbalancer.cpp
@@ -201,6 +201,7 @@
 {
     auto &state = m_targets[targetId];
     state.linked = false;
+    state.report.leaving = false; // said by a process that is gone; its successor is linked to only when it is chosen
     state.avoidUntil = now + m_settings.unreachableBackoff;
 }
 
--- a/tests/mesh/loadbalancer_test.cpp
+++ b/tests/mesh/loadbalancer_test.cpp
@@ -94,6 +94,20 @@
     BOOST_TEST(balancer.choose(now, targets, request).has_value());
 }
 
+/// Guards against a target that is avoided for good: the node on its host said that it stops, was linked to only on demand, and has
+/// started again since, with the same target.
+BOOST_AUTO_TEST_CASE(choose_nodeThatStoppedHasEnded_targetIsChosenAgain)
+{
+    addTargets("one", 1);
+    auto balancer = makeBalancer();
+    auto leaving = report(0, milliseconds(50));
+    leaving.leaving = true;
+    balancer.onReport(now, "one0", leaving);
+    BOOST_TEST(!balancer.choose(now, targets, request).has_value());
+    balancer.onUnreachable(now, "one0");
+    BOOST_TEST(balancer.choose(now + seconds(2), targets, request).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(choose_exitNodeReportsLeaving_isAvoided)
 {
     addTargets("one", 2);
