--- a/src/mesh/stopschedule.cpp
+++ b/src/mesh/stopschedule.cpp
@@ -2,6 +2,8 @@
 
 #include "kernel/durations.h"
 
+#include <algorithm>
+
 namespace Fescuenotch {
 
 StopSchedule::StopSchedule(TimePoint begin, const StopScheduleSettings &settings)
@@ -17,17 +19,22 @@
 
 TimePoint StopSchedule::acceptUntil() const
 {
-    return m_begin + durationOf(secondsOf(m_settings.stopLimit) * m_settings.acceptShare);
+    return m_begin + std::min<Duration>(share(m_settings.maxAcceptShare), m_settings.announcement + m_settings.acceptAfterAnnouncement);
 }
 
 TimePoint StopSchedule::latestDeadline() const
 {
-    return exitAt() - m_settings.answerMargin;
+    return m_begin + share(m_settings.answerShare);
 }
 
 TimePoint StopSchedule::exitAt() const
 {
-    return m_begin + m_settings.stopLimit - m_settings.exitMargin;
+    return m_begin + share(m_settings.exitShare);
+}
+
+Duration StopSchedule::share(double ofLimit) const
+{
+    return durationOf(secondsOf(m_settings.stopLimit) * ofLimit);
 }
 
 } // namespace Fescuenotch
--- a/src/mesh/stopschedule.h
+++ b/src/mesh/stopschedule.h
@@ -17,9 +17,10 @@
 struct StopScheduleSettings {
     milliseconds stopLimit{6'000}; ///< ms; from SIGTERM to SIGKILL
     milliseconds announcement{2'200}; ///< ms; callers may still send requests here for this long
-    double acceptShare = 0.45; ///< of the time until SIGKILL; requests accepted until then have about as long again to finish
-    milliseconds exitMargin{700}; ///< ms before SIGKILL at which the process exits even with requests in flight
-    milliseconds answerMargin{200}; ///< ms before the exit; for errors to requests that missed their deadline
+    milliseconds acceptAfterAnnouncement{800}; ///< ms; for callers that learn of the stop late
+    double maxAcceptShare = 0.45; ///< of the time until SIGKILL; requests accepted until then have about as long again to finish
+    double exitShare = 0.885; ///< of the time until SIGKILL; the process exits then even with requests in flight
+    double answerShare = 0.85; ///< of the time until SIGKILL; the latest deadline, after which errors are sent to what missed it
 };
 
 class StopSchedule
@@ -36,6 +37,8 @@
     TimePoint exitAt() const;
 
 private:
+    Duration share(double ofLimit) const;
+
     TimePoint m_begin;
     StopScheduleSettings m_settings;
 };
