--- a/src/kernel/signalthread.cpp
+++ b/src/kernel/signalthread.cpp
@@ -44,7 +44,7 @@
 {
     m_ended = true;
     // Sent to this one thread, where it is blocked: it can only end the wait.
-    ::pthread_kill(m_thread.native_handle(), SIGTERM);
+    ::pthread_kill(m_thread.native_handle(), SIGHUP);
     m_thread.join();
 }
 
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -40,6 +40,7 @@
 std::vector<char *> childEnvironment(std::vector<std::string> &added)
 {
     std::vector<char *> kept;
+    kept.reserve(added.size());
     for (auto &each : added) {
         kept.push_back(each.data());
     }
