--- a/src/adapter/adapter.h
+++ b/src/adapter/adapter.h
@@ -10,6 +10,7 @@
 #include "kernel/clock.h"
 #include "kernel/endpoint.h"
 #include "kernel/errors.h"
+#include "kernel/http.h"
 #include "mesh/routes.h"
 #include "mesh/storesync.h"
 #include "mesh/targets.h"
@@ -80,6 +81,10 @@
 
     /// HTTP request target (path and query) of a call to the store.
     virtual std::string storeRequestTarget(const StoreQuery &query) const = 0;
+    /// The era that the headers of any answer of the store state; none: they state none. Error InvalidDocument if the value is
+    /// not a whole number of 0 or more.
+    virtual Result<std::optional<std::uint64_t>> decodeStoreEra(const Headers &headers) const = 0;
+    /// Sets all but the era of the response's position.
     virtual Result<StoreResponse> decodeResponse(const StoreQuery &query, const std::string &body) const = 0;
     virtual Result<MeshConfiguration> decodeConfiguration(const std::string &value) const = 0;
     virtual Result<TargetRecord> decodeTarget(const std::string &id, const std::string &value) const = 0;
--- a/src/forward/linkcodec.cpp
+++ b/src/forward/linkcodec.cpp
@@ -169,10 +169,17 @@
     const auto report = encodeReport(fbb, heartbeat.report);
     const auto age = std::chrono::duration_cast<milliseconds>(heartbeat.storeAge).count();
     const auto ageMs = static_cast<std::uint32_t>(std::min<std::int64_t>(age, NoStoreAge));
-    return finishFrame(
-        fbb,
-        MeshWire::CreatePulse(
-            fbb, toWireTime(now), target, report, heartbeat.configuration, heartbeat.storeRevision, heartbeat.targetsDigest, heartbeat.linkMbps, ageMs));
+    return finishFrame(fbb,
+                       MeshWire::CreatePulse(fbb,
+                                             toWireTime(now),
+                                             target,
+                                             report,
+                                             heartbeat.configuration,
+                                             heartbeat.storePosition.revision,
+                                             heartbeat.targetsDigest,
+                                             heartbeat.linkMbps,
+                                             ageMs,
+                                             heartbeat.storePosition.era));
 }
 
 std::string encodeKeepAlive(TimePoint now)
@@ -278,7 +285,7 @@
         out.report = decodeReport(*heartbeat.report());
     }
     out.configuration = heartbeat.configuration();
-    out.storeRevision = heartbeat.store_revision();
+    out.storePosition = {heartbeat.store_era(), heartbeat.store_revision()};
     out.targetsDigest = heartbeat.targets_digest();
     out.linkMbps = heartbeat.link_mbps();
     if (heartbeat.store_age_ms() != NoStoreAge) {
--- a/src/forward/linkcodec.h
+++ b/src/forward/linkcodec.h
@@ -62,7 +62,7 @@
     std::string targetId; ///< target described by `report`; empty: none
     TargetReport report;
     std::uint64_t configuration = 0; ///< version of the configuration in force; 0: none
-    std::uint64_t storeRevision = 0; ///< the sender's list of targets includes every change up to this revision
+    StorePosition storePosition; ///< the sender's list of targets includes every change up to here
     std::uint64_t targetsDigest = 0; ///< digest of the sender's list of targets
     unsigned linkMbps = 0; ///< Mbit/s; bandwidth of the sender's host link
     Duration storeAge = Duration::max(); ///< time since the store last answered the sender; max: the sender does not watch the store
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -39,6 +39,17 @@
     return milliseconds(static_cast<milliseconds::rep>(bytes * BitsPerByte / (mbps * BitsPerMillisecond)));
 }
 
+/// Whether two configurations say the same; peers deliver routes and services in another order.
+bool isSameContent(MeshConfiguration a, MeshConfiguration b)
+{
+    const auto byName = [](const auto &x, const auto &y) { return x.name < y.name; };
+    for (auto *each : {&a, &b}) {
+        std::sort(each->routes.begin(), each->routes.end(), byName);
+        std::sort(each->services.begin(), each->services.end(), byName);
+    }
+    return a == b;
+}
+
 const char *yesOrNo(bool value)
 {
     return value ? "yes" : "no";
@@ -107,6 +118,11 @@
         return m_entry->table() ? static_cast<double>(m_entry->table()->version()) : 0.0;
     });
     metrics.gauge("fescuenotch_mesh_targets", "Targets that are listed.", {}, [this] { return static_cast<double>(m_targets.size()); });
+    metrics.gauge(
+        "fescuenotch_store_era", "Era of the store's history that the list of targets is of.", {}, [this] { return static_cast<double>(m_storePosition.era); });
+    metrics.gauge("fescuenotch_store_entries_in_doubt", "Targets that the store lacks since its era rose.", {}, [this] {
+        return static_cast<double>(m_targets.inDoubt());
+    });
     metrics.gauge("fescuenotch_store_age_seconds", "Time since the store's last answer.", {}, [this] {
         const auto age = m_store->sync().age(m_loop.now());
         return age == Duration::max() ? -1.0 : std::chrono::duration<double>(age).count();
@@ -250,6 +266,12 @@
 {
     const auto before = m_entry->table() ? m_entry->table()->version() : 0;
     if (m_entry->table() && table->version() <= before) {
+        if (table->version() == before && !isSameContent(table->configuration(), m_entry->table()->configuration())) {
+            logEvent(LogLevel::Error, "configuration_conflict")
+                .with("version", before)
+                .with("source", source)
+                .with("remedy", "the content seen first stays in force; publish the other one under a higher version");
+        }
         return;
     }
     m_configurationsApplied->add();
@@ -269,9 +291,11 @@
 
 // ---- [targets] --------------------------------------------------------------------------------------------------
 
-TargetUpdate MeshNode::decodeTargetItem(const StoreItem &item)
+TargetUpdate MeshNode::decodeTargetItem(const StoreItem &item, std::uint64_t era)
 {
-    TargetUpdate update{item.id, item.revision, std::nullopt};
+    TargetUpdate update;
+    update.id = item.id;
+    update.position = {era, item.revision};
     if (!item.value) {
         return update;
     }
@@ -295,20 +319,39 @@
         .with("data_centre", change.record.dataCentre)
         .with("cold_ms", change.record.coldRemaining.count())
         .with("source", source)
-        .with("store_revision", m_storeRevision);
+        .with("store_era", m_storePosition.era)
+        .with("store_revision", m_storePosition.revision);
+}
+
+void MeshNode::advanceStorePosition(StorePosition position, bool allTargets, const std::string &source)
+{
+    if (!allTargets && position.era > m_storePosition.era) {
+        return; // the complete list of the new era comes next
+    }
+    if (m_storePosition.era != 0 && position.era > m_storePosition.era) {
+        m_eraHasRisen = true;
+        logEvent(LogLevel::Warning, "store_era")
+            .with("old", m_storePosition.era)
+            .with("new", position.era)
+            .with("old_revision", m_storePosition.revision)
+            .with("new_revision", position.revision)
+            .with("in_doubt", m_targets.inDoubt())
+            .with("source", source);
+    }
+    m_storePosition = std::max(m_storePosition, position);
 }
 
 void MeshNode::onStoreUpdate(StoreUpdate update)
 {
     const auto now = m_loop.turnTime();
     const auto removalsDeferredUntil = m_store->sync().removalsDeferredUntil();
-    m_storeRevision = std::max(m_storeRevision, update.revision);
     const auto digestBefore = m_targets.digest();
+    const auto eraBefore = m_storePosition.era;
     for (const auto &item : update.items) {
         if (item.kind == StoreItem::Kind::Configuration) {
             onConfigurationItem(item);
         } else if (item.kind == StoreItem::Kind::Target) {
-            if (const auto change = m_targets.apply(now, decodeTargetItem(item), removalsDeferredUntil)) {
+            if (const auto change = m_targets.apply(now, decodeTargetItem(item, update.position.era), removalsDeferredUntil)) {
                 logTargetChange(*change, "store");
             }
         }
@@ -317,16 +360,17 @@
         std::vector<TargetUpdate> listing;
         for (const auto &item : update.listing) {
             if (item.kind == StoreItem::Kind::Target) {
-                listing.push_back(decodeTargetItem(item));
+                listing.push_back(decodeTargetItem(item, update.position.era));
             }
         }
-        for (const auto &change : m_targets.applyListing(now, listing, update.revision, removalsDeferredUntil)) {
+        for (const auto &change : m_targets.applyListing(now, listing, update.position, removalsDeferredUntil)) {
             logTargetChange(change, "store");
         }
         m_hasTargets = true;
         prepareLinks();
     }
-    if (m_targets.digest() != digestBefore) {
+    advanceStorePosition(update.position, update.listingComplete, "store");
+    if (m_targets.digest() != digestBefore || m_storePosition.era > eraBefore) {
         m_links->sendHeartbeatsNow(); // peers learn of the change from this node
     }
     onTargetsChanged();
@@ -410,6 +454,7 @@
 {
     // `leaving` is also set while only the target drains or cannot be reached; then nothing but the order of answers changes.
     m_links->setStopping(peer.host, heartbeat.report.leaving);
+    m_store->onEraTold(heartbeat.storePosition.era);
     m_state->onHeartbeat(m_loop.turnTime(), peer, heartbeat);
     if (!heartbeat.targetId.empty()) {
         m_entry->loadBalancer.onReport(m_loop.turnTime(), heartbeat.targetId, heartbeat.report);
@@ -422,7 +467,7 @@
     heartbeat.targetId = m_dispatcher->targetId();
     heartbeat.report = m_dispatcher->report();
     heartbeat.configuration = m_entry->table() ? m_entry->table()->version() : 0;
-    heartbeat.storeRevision = m_storeRevision;
+    heartbeat.storePosition = m_storePosition;
     heartbeat.linkMbps = static_cast<unsigned>(m_settings.linkMbps);
     heartbeat.targetsDigest = m_hasTargets ? m_targets.digest() : 0;
     if (m_store->isWatching() && !m_stopSince) {
@@ -453,9 +498,14 @@
     return m_entry->table();
 }
 
-std::uint64_t MeshNode::storeRevision() const
+StorePosition MeshNode::storePosition() const
+{
+    return m_storePosition;
+}
+
+bool MeshNode::hasEraRisen() const
 {
-    return m_storeRevision;
+    return m_eraHasRisen;
 }
 
 bool MeshNode::hasTargets() const
@@ -463,13 +513,13 @@
     return m_hasTargets;
 }
 
-void MeshNode::applyTargetUpdates(const std::vector<TargetUpdate> &updates, std::uint64_t revision, bool allTargets, const std::string &source)
+void MeshNode::applyTargetUpdates(const std::vector<TargetUpdate> &updates, StorePosition position, bool allTargets, const std::string &source)
 {
     const auto now = m_loop.turnTime();
     // The peer has already deferred removals where that was necessary.
     const auto noDeferral = TimePoint::min();
     if (allTargets) {
-        for (const auto &change : m_targets.applyListing(now, updates, revision, noDeferral)) {
+        for (const auto &change : m_targets.applyListing(now, updates, position, noDeferral)) {
             logTargetChange(change, source);
         }
     } else {
@@ -479,7 +529,7 @@
             }
         }
     }
-    m_storeRevision = std::max(m_storeRevision, revision);
+    advanceStorePosition(position, allTargets, source);
     const bool first = !m_hasTargets;
     m_hasTargets = true;
     onTargetsChanged();
@@ -493,7 +543,10 @@
     m_state->tick(now);
     const bool watches = m_state->shouldWatch(now);
     if (watches != m_store->isWatching()) {
-        logEvent(LogLevel::Info, "store_duty").with("watches", yesOrNo(watches)).with("store_revision", m_storeRevision);
+        logEvent(LogLevel::Info, "store_duty")
+            .with("watches", yesOrNo(watches))
+            .with("store_era", m_storePosition.era)
+            .with("store_revision", m_storePosition.revision);
         m_store->setWatching(watches);
     }
 }
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -58,8 +58,10 @@
     void onConfigurationParsed(std::uint64_t revision, const std::variant<RoutingTablePtr, Error> &parsed);
 
     // Targets.
-    TargetUpdate decodeTargetItem(const StoreItem &item);
+    TargetUpdate decodeTargetItem(const StoreItem &item, std::uint64_t era);
     void logTargetChange(const TargetChange &change, const std::string &source);
+    /// Takes over a position once the targets include its changes, and reports a new era.
+    void advanceStorePosition(StorePosition position, bool allTargets, const std::string &source);
     void onTargetsChanged();
     void prepareLinks(); ///< opens the links that LinkSelection wants, so that requests do not wait for them
     void updateSelectedPeers();
@@ -80,8 +82,9 @@
 
     RoutingTablePtr tableInForce() const override;
     void applyTable(const RoutingTablePtr &table, const std::string &source) override;
-    void applyTargetUpdates(const std::vector<TargetUpdate> &updates, std::uint64_t revision, bool allTargets, const std::string &source) override;
-    std::uint64_t storeRevision() const override;
+    void applyTargetUpdates(const std::vector<TargetUpdate> &updates, StorePosition position, bool allTargets, const std::string &source) override;
+    StorePosition storePosition() const override;
+    bool hasEraRisen() const override;
     bool hasTargets() const override;
     void updateStoreWatch(TimePoint now);
 
@@ -96,7 +99,8 @@
     TargetTable m_targets;
     std::optional<StoreItem> m_pendingConfiguration; ///< newest one that waits to be parsed
     bool m_parsing = false;
-    std::uint64_t m_storeRevision = 0; ///< newest one seen, from the store or from a peer
+    StorePosition m_storePosition; ///< the targets include every change up to here, from the store or from a peer
+    bool m_eraHasRisen = false; ///< since the start of this node
     std::vector<Endpoint> m_selectedPeers; ///< to which links are kept open
     std::pair<std::uint64_t, std::size_t> m_selectedPeersFor{0, 0}; ///< generation of the targets, number of requested services
     bool m_hasTargets = false; ///< a complete list of targets was received, from the store or from a peer
--- a/src/forward/statecodec.cpp
+++ b/src/forward/statecodec.cpp
@@ -28,12 +28,13 @@
 std::string encodeStateRequest(const StateVersions &versions)
 {
     Builder fbb;
-    return finishFrame(fbb, MeshWire::CreateStateRequest(fbb, versions.configuration, versions.storeRevision, versions.wantsAllTargets));
+    return finishFrame(
+        fbb, MeshWire::CreateStateRequest(fbb, versions.configuration, versions.storePosition.revision, versions.wantsAllTargets, versions.storePosition.era));
 }
 
 StateVersions decodeStateRequest(const MeshWire::StateRequest &request)
 {
-    return {request.configuration(), request.store_revision(), request.whole()};
+    return {request.configuration(), {request.store_era(), request.store_revision()}, request.whole()};
 }
 
 // ---- [configuration] --------------------------------------------------------------------------------------------
@@ -203,14 +204,22 @@
 // ---- [targets] --------------------------------------------------------------------------------------------------
 
 std::string
-encodeStateNews(const CompressedConfiguration *configuration, const std::vector<TargetUpdate> &targets, bool allTargets, std::uint64_t storeRevision)
+encodeStateNews(const CompressedConfiguration *configuration, const std::vector<TargetUpdate> &targets, bool allTargets, StorePosition storePosition)
 {
     Builder fbb(InitialBuilderBytes);
     std::vector<flatbuffers::Offset<MeshWire::TargetNewsRecord>> records;
     for (const auto &update : targets) {
         const auto id = fbb.CreateString(update.id);
+        const auto statedInEra = update.statedInEra.value_or(0);
         if (!update.record) {
-            records.push_back(MeshWire::CreateTargetNewsRecord(fbb, id, update.revision, false));
+            MeshWire::TargetNewsRecordBuilder record(fbb);
+            record.add_id(id);
+            record.add_revision(update.position.revision);
+            record.add_started_at_ms(update.outdatedBefore.startedAtMs);
+            record.add_sequence(update.outdatedBefore.sequence);
+            record.add_era(update.position.era);
+            record.add_stated_in_era(statedInEra);
+            records.push_back(record.Finish());
             continue;
         }
         const auto &r = *update.record;
@@ -219,7 +228,7 @@
         const auto dataCentre = fbb.CreateSharedString(r.dataCentre);
         records.push_back(MeshWire::CreateTargetNewsRecord(fbb,
                                                            id,
-                                                           update.revision,
+                                                           update.position.revision,
                                                            true,
                                                            service,
                                                            host,
@@ -228,7 +237,11 @@
                                                            r.slots,
                                                            r.state == TargetState::Draining,
                                                            static_cast<std::uint32_t>(r.coldRemaining.count()),
-                                                           r.startedAtMs));
+                                                           r.startedAtMs,
+                                                           r.sequence,
+                                                           update.position.era,
+                                                           statedInEra,
+                                                           static_cast<std::uint32_t>(update.removeIn.count())));
     }
     const auto list = fbb.CreateVector(records);
     flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> bytes;
@@ -236,7 +249,7 @@
         bytes = fbb.CreateVector(reinterpret_cast<const std::uint8_t *>(configuration->bytes.data()), configuration->bytes.size());
     }
     const auto size = configuration == nullptr ? 0 : static_cast<std::uint32_t>(configuration->size);
-    return finishFrame(fbb, MeshWire::CreateStateNews(fbb, bytes, size, list, storeRevision, allTargets));
+    return finishFrame(fbb, MeshWire::CreateStateNews(fbb, bytes, size, list, storePosition.revision, allTargets, storePosition.era));
 }
 
 std::vector<TargetUpdate> decodeTargetUpdates(const MeshWire::StateNews &news)
@@ -246,7 +259,13 @@
         return out;
     }
     for (const auto *record : *news.targets()) {
-        TargetUpdate each{record->id()->str(), record->revision(), std::nullopt};
+        TargetUpdate each;
+        each.id = record->id()->str();
+        each.position = {record->era(), record->revision()};
+        each.removeIn = milliseconds(record->remove_in_ms());
+        if (record->stated_in_era() != 0) {
+            each.statedInEra = record->stated_in_era();
+        }
         if (record->listed()) {
             TargetRecord r;
             r.id = each.id;
@@ -257,7 +276,10 @@
             r.state = record->draining() ? TargetState::Draining : TargetState::Ready;
             r.coldRemaining = milliseconds(record->cold_ms());
             r.startedAtMs = record->started_at_ms();
+            r.sequence = record->sequence();
             each.record = std::move(r);
+        } else {
+            each.outdatedBefore = {record->started_at_ms(), record->sequence()};
         }
         out.push_back(std::move(each));
     }
--- a/src/forward/statecodec.h
+++ b/src/forward/statecodec.h
@@ -16,8 +16,8 @@
 /// The versions that a node has. Sent with a state request, so that the answer contains only what is newer.
 struct StateVersions {
     std::uint64_t configuration = 0; ///< version of the configuration in force; 0: none
-    std::uint64_t storeRevision = 0; ///< its list of targets includes every change up to this revision
-    bool wantsAllTargets = false; ///< asks for the complete list: changes since `storeRevision` are not enough, or it has no list
+    StorePosition storePosition; ///< its list of targets includes every change up to here
+    bool wantsAllTargets = false; ///< asks for the complete list: changes since `storePosition` are not enough, or it has no list
 };
 
 std::string encodeStateRequest(const StateVersions &versions);
@@ -36,9 +36,9 @@
 };
 CompressedConfiguration compress(const std::string &bytes);
 
-/// `configuration` may be null: nothing newer. `allTargets`: `targets` is the complete list as of `storeRevision`.
+/// `configuration` may be null: nothing newer. `allTargets`: `targets` is the complete list as of `storePosition`.
 std::string
-encodeStateNews(const CompressedConfiguration *configuration, const std::vector<TargetUpdate> &targets, bool allTargets, std::uint64_t storeRevision);
+encodeStateNews(const CompressedConfiguration *configuration, const std::vector<TargetUpdate> &targets, bool allTargets, StorePosition storePosition);
 std::vector<TargetUpdate> decodeTargetUpdates(const MeshWire::StateNews &news);
 
 } // namespace Fescuenotch
--- a/src/forward/stateexchange.cpp
+++ b/src/forward/stateexchange.cpp
@@ -39,20 +39,30 @@
 StateVersions StateExchange::ownVersions() const
 {
     const auto table = m_owner.tableInForce();
-    return {table ? table->version() : 0, m_owner.storeRevision(), !m_owner.hasTargets()};
+    return {table ? table->version() : 0, m_owner.storePosition(), !m_owner.hasTargets()};
+}
+
+StorePosition StateExchange::withEra(StorePosition position) const
+{
+    if (position.era == 0 && !m_owner.hasEraRisen()) {
+        position.era = m_owner.storePosition().era;
+    }
+    return position;
 }
 
 // ---- [requests to peers] ----------------------------------------------------------------------------------------
 
 void StateExchange::onHeartbeat(TimePoint now, const Endpoint &peer, const LinkHeartbeat &heartbeat)
 {
-    m_watcherSelection.onHeartbeat(now, peer.host, heartbeat.linkMbps, heartbeat.storeAge);
+    // A peer that states no era cannot report changes of an era that has risen, so it does not count as watching the store.
+    const bool knowsEra = heartbeat.storePosition.era != 0 || !m_owner.hasEraRisen();
+    m_watcherSelection.onHeartbeat(now, peer.host, heartbeat.linkMbps, knowsEra ? heartbeat.storeAge : Duration::max());
     auto versions = ownVersions();
     if (heartbeat.configuration > 0 && versions.configuration == 0 && !m_offeredSince) {
         m_offeredSince = now;
     }
     const bool hasNewerConfiguration = heartbeat.configuration > versions.configuration && !m_decoding;
-    const bool targetsDiffer = heartbeat.storeRevision >= versions.storeRevision && heartbeat.targetsDigest != m_targets.digest();
+    const bool targetsDiffer = withEra(heartbeat.storePosition) >= versions.storePosition && heartbeat.targetsDigest != m_targets.digest();
     if (!hasNewerConfiguration && !targetsDiffer) {
         return;
     }
@@ -80,7 +90,7 @@
     m_requestScheduler.onRequested(now, peer.host);
     m_requestsSent.add();
     const auto versions = ownVersions();
-    return encodeStateRequest({versions.configuration, versions.storeRevision, true});
+    return encodeStateRequest({versions.configuration, versions.storePosition, true});
 }
 
 void StateExchange::tick(TimePoint now)
@@ -116,12 +126,11 @@
     const auto versions = decodeStateRequest(request);
     const auto table = m_owner.tableInForce();
     const bool includesConfiguration = table && table->version() > versions.configuration;
-    const auto targets = !m_owner.hasTargets() ? std::vector<TargetUpdate>()
-        : versions.wantsAllTargets             ? m_targets.allUpdates()
-                                               : m_targets.updatesSince(versions.storeRevision);
+    const auto since = withEra(versions.storePosition);
+    const bool sendsAll = versions.wantsAllTargets || since.era != m_owner.storePosition().era;
+    const auto targets = !m_owner.hasTargets() ? std::vector<TargetUpdate>() : sendsAll ? m_targets.allUpdates(Clock::now()) : m_targets.updatesSince(since);
     // An empty answer is sent too, so that the requesting node turns to another node at once instead of waiting.
-    auto frame = encodeStateNews(
-        includesConfiguration ? &compressedSince(versions.configuration) : nullptr, targets, versions.wantsAllTargets, m_owner.storeRevision());
+    auto frame = encodeStateNews(includesConfiguration ? &compressedSince(versions.configuration) : nullptr, targets, sendsAll, m_owner.storePosition());
     m_answersSent.add();
     m_answerBytesSent.add(frame.size());
     logEvent(LogLevel::Info, "state_told")
@@ -129,7 +138,7 @@
         .with("configuration", includesConfiguration ? table->version() : 0)
         .with("since", versions.configuration)
         .with("targets", targets.size())
-        .with("whole", versions.wantsAllTargets ? 1 : 0);
+        .with("whole", sendsAll ? 1 : 0);
     return frame;
 }
 
@@ -138,9 +147,12 @@
 void StateExchange::onNews(const MeshWire::StateNews &news)
 {
     m_requestScheduler.onResponse();
-    const auto targets = decodeTargetUpdates(news);
+    auto targets = decodeTargetUpdates(news);
+    for (auto &target : targets) {
+        target.position = withEra(target.position);
+    }
     if (!targets.empty()) {
-        m_owner.applyTargetUpdates(targets, news.store_revision(), news.all_targets(), "peer");
+        m_owner.applyTargetUpdates(targets, withEra({news.store_era(), news.store_revision()}), news.all_targets(), "peer");
     }
     if (news.configuration() != nullptr && news.configuration()->size() > 0 && !m_decoding) {
         decodeConfiguration(news);
--- a/src/forward/stateexchange.h
+++ b/src/forward/stateexchange.h
@@ -31,9 +31,10 @@
     virtual RoutingTablePtr tableInForce() const = 0; ///< null: none
     /// `source` names where the data came from, for the log.
     virtual void applyTable(const RoutingTablePtr &table, const std::string &source) = 0;
-    /// `allTargets`: `updates` is the complete list of targets as of `revision`, not only the changes.
-    virtual void applyTargetUpdates(const std::vector<TargetUpdate> &updates, std::uint64_t revision, bool allTargets, const std::string &source) = 0;
-    virtual std::uint64_t storeRevision() const = 0; ///< the list of targets includes every change up to this revision
+    /// `allTargets`: `updates` is the complete list of targets as of `position`, not only the changes.
+    virtual void applyTargetUpdates(const std::vector<TargetUpdate> &updates, StorePosition position, bool allTargets, const std::string &source) = 0;
+    virtual StorePosition storePosition() const = 0; ///< the list of targets includes every change up to here
+    virtual bool hasEraRisen() const = 0; ///< the store came back from an older copy while this node ran
     virtual bool hasTargets() const = 0;
 };
 
@@ -69,6 +70,8 @@
     bool isConfigurationOverdue(TimePoint now) const;
     /// The configuration in force as the difference from `version`, or complete if that version is not kept any more.
     const CompressedConfiguration &compressedSince(std::uint64_t version);
+    /// Nodes of the build before state no era. Until the era rises, theirs is the current one.
+    StorePosition withEra(StorePosition position) const;
     void decodeConfiguration(const MeshWire::StateNews &news);
 
     Worker &m_worker;
--- a/src/forward/storeclient.cpp
+++ b/src/forward/storeclient.cpp
@@ -65,8 +65,12 @@
     for (const auto kind : {StoreQuery::Kind::Configuration, StoreQuery::Kind::Targets, StoreQuery::Kind::Watch}) {
         m_calls[kind] = &metrics.counter("fescuenotch_store_calls_total", "Calls to the platform's store.", {{"call", storeQueryName(kind)}});
     }
-    for (const auto failure :
-         {StoreFailure::Unreachable, StoreFailure::Unavailable, StoreFailure::RateLimited, StoreFailure::HistoryCompacted, StoreFailure::InvalidResponse}) {
+    for (const auto failure : {StoreFailure::Unreachable,
+                               StoreFailure::Unavailable,
+                               StoreFailure::RateLimited,
+                               StoreFailure::HistoryCompacted,
+                               StoreFailure::InvalidResponse,
+                               StoreFailure::OutdatedEra}) {
         m_failures[failure]
             = &metrics.counter("fescuenotch_store_failures_total", "Calls to the store that gave nothing.", {{"reason", storeFailureName(failure)}});
     }
@@ -170,33 +174,75 @@
     }
 }
 
+void StoreClient::onEraTold(std::uint64_t era)
+{
+    if (!m_sync.noteEra(m_loop.now(), era) || !m_query) {
+        return;
+    }
+    // The answer to the call in flight would be of the era before.
+    m_query.reset();
+    m_timeoutTimer.cancel();
+    m_tcp->reset();
+    startNextCall();
+}
+
+std::uint64_t StoreClient::readEra()
+{
+    const auto read = valueOrError([&] { return m_adapter.decodeStoreEra(m_reader.head().headers); });
+    const auto known = m_sync.era();
+    if (const auto *error = std::get_if<Error>(&read)) {
+        logEvent(LogLevel::Error, "store_era_refused").with("era_in_force", known).with(*error);
+        return known;
+    }
+    const auto &era = std::get<std::optional<std::uint64_t>>(read);
+    if (era.value_or(0) < m_statedEra) {
+        logEvent(LogLevel::Error, "store_era_refused")
+            .with("era_in_force", known)
+            .with("stated", era ? std::to_string(*era) : "none")
+            .with("remedy", "the store's era must be stated in all of its answers and must not fall");
+    }
+    if (!era) {
+        return known;
+    }
+    m_statedEra = std::max(m_statedEra, *era);
+    return *era;
+}
+
 void StoreClient::onAnswer()
 {
     m_bytes.add(m_body.size());
     if (!m_reader.head().keepAlive) {
         m_tcp->close();
     }
+    const auto era = readEra();
     const auto failure = failureForStatus(m_reader.head().status);
     if (failure) {
+        m_sync.noteEra(m_loop.now(), era);
         onCallFailed(*failure, parseRetryAfter(m_reader.head().headers), "status " + std::to_string(m_reader.head().status));
         return;
     }
     m_timeoutTimer.cancel();
-    decode(std::move(m_body));
+    decode(std::move(m_body), era);
 }
 
-void StoreClient::decode(std::string body)
+void StoreClient::decode(std::string body, std::uint64_t era)
 {
     const auto query = *m_query;
     m_query.reset();
     m_decoding = true;
     const bool missing = m_reader.head().status == 404;
     m_worker.run(
-        [this, query, missing, body = std::move(body)]() -> std::variant<StoreResponse, Error> {
+        [this, query, missing, era, body = std::move(body)]() -> std::variant<StoreResponse, Error> {
+            StoreResponse absent;
+            absent.position.era = era;
             if (missing) {
-                return StoreResponse{};
+                return absent;
             }
-            return valueOrError([&] { return m_adapter.decodeResponse(query, body); });
+            return valueOrError([&]() -> Result<StoreResponse> {
+                BOOST_LEAF_AUTO(response, m_adapter.decodeResponse(query, body));
+                response.position.era = era;
+                return response;
+            });
         },
         [this, query, alive = std::weak_ptr(m_alive)](std::variant<StoreResponse, Error> decoded) {
             if (!alive.expired()) {
@@ -214,9 +260,19 @@
         return;
     }
     auto update = m_sync.onResponse(m_loop.now(), query, std::move(std::get<StoreResponse>(decoded)));
+    if (update.outdated) {
+        m_failures[StoreFailure::OutdatedEra]->add();
+        logEvent(LogLevel::Info, "store_call_failed")
+            .with("call", storeQueryName(query.kind))
+            .with("reason", storeFailureName(StoreFailure::OutdatedEra))
+            .with("era", update.position.era)
+            .with("era_in_force", m_sync.era());
+        startNextCall();
+        return;
+    }
     if (m_outageReported) {
         m_outageReported = false;
-        logEvent(LogLevel::Info, "store_back").with("revision", update.revision);
+        logEvent(LogLevel::Info, "store_back").with("era", update.position.era).with("revision", update.position.revision);
     }
     m_events.onStoreUpdate(std::move(update));
     startNextCall();
--- a/src/forward/storeclient.h
+++ b/src/forward/storeclient.h
@@ -41,6 +41,8 @@
     void stop();
     /// False: no new calls are made, since peers report the changes.
     void setWatching(bool watching);
+    /// A peer knows this era of the store. A higher one than the store has stated restarts with the listing, even if a watch is pending.
+    void onEraTold(std::uint64_t era);
     bool isWatching() const
     {
         return m_watching;
@@ -57,7 +59,9 @@
     void onInput() override;
     void onClosed(CloseCause cause) override;
     void onAnswer();
-    void decode(std::string body);
+    /// The era of the answer. One that is missing or invalid is logged, and the last one stays.
+    std::uint64_t readEra();
+    void decode(std::string body, std::uint64_t era);
     void onDecoded(const StoreQuery &query, std::variant<StoreResponse, Error> decoded);
     void onCallFailed(StoreFailure failure, milliseconds retryAfter, const std::string &detail);
     milliseconds answerTimeout() const;
@@ -72,6 +76,7 @@
     MessageReader m_reader;
     std::string m_body;
     std::optional<StoreQuery> m_query; ///< of the call in flight
+    std::uint64_t m_statedEra = 0; ///< highest that the store itself has stated
     bool m_decoding = false;
     bool m_outageReported = false;
     bool m_stopped = false;
--- a/src/mesh/storesync.cpp
+++ b/src/mesh/storesync.cpp
@@ -13,7 +13,7 @@
 
 const char *storeFailureName(StoreFailure failure)
 {
-    constexpr std::array<const char *, 5> Names{"unreachable", "unavailable", "limited", "history-gone", "bad-answer"};
+    constexpr std::array<const char *, 6> Names{"unreachable", "unavailable", "limited", "history-gone", "bad-answer", "old-era"};
     return Names.at(static_cast<std::size_t>(failure));
 }
 
@@ -27,11 +27,26 @@
 void StoreSync::restart()
 {
     // The first listing serves to find peers, which know the rest. The watch continues from its revision, whatever its age.
-    m_query = {StoreQuery::Kind::Targets, "", 0, milliseconds(0), !m_listedOnce};
+    m_query = {StoreQuery::Kind::Targets, "", 0, milliseconds(0), m_listingMayBeStale};
     m_listing.clear();
     m_watchFrom = 0;
 }
 
+bool StoreSync::noteEra(TimePoint now, std::uint64_t era)
+{
+    if (era <= m_era) {
+        return false;
+    }
+    m_era = era;
+    if (m_listedOnce) {
+        m_removalsDeferredUntil = std::max(m_removalsDeferredUntil, now + m_settings.removalDeferral);
+        m_listingMayBeStale = false;
+    }
+    restart();
+    m_nextAt = m_backoff == milliseconds(0) ? now : m_nextAt;
+    return true;
+}
+
 std::optional<StoreQuery> StoreSync::next(TimePoint now) const
 {
     return now < m_nextAt ? std::nullopt : std::optional(m_query);
@@ -40,10 +55,15 @@
 StoreUpdate StoreSync::onResponse(TimePoint now, const StoreQuery &query, StoreResponse response)
 {
     StoreUpdate update;
-    update.revision = response.revision;
+    update.position = response.position;
+    if (response.position.era < m_era) {
+        update.outdated = true;
+        onFailure(now, query, StoreFailure::OutdatedEra, milliseconds(0));
+        return update;
+    }
     if (m_unavailableSince) {
         if (now - *m_unavailableSince >= m_settings.minOutageForDeferral) {
-            m_removalsDeferredUntil = now + m_settings.removalDeferral;
+            m_removalsDeferredUntil = std::max(m_removalsDeferredUntil, now + m_settings.removalDeferral);
         }
         m_unavailableSince.reset();
         update.recovered = true;
@@ -51,11 +71,17 @@
     m_backoff = milliseconds(0);
     m_lastResponse = now;
     m_nextAt = now;
+    noteEra(now, response.position.era);
+    if (query != m_query && !(query.kind == StoreQuery::Kind::Targets && query.afterKey.empty())) {
+        // The sequence restarted while the query was in flight: its items are valid, but the listing comes next.
+        update.items = std::move(response.items);
+        return update;
+    }
     switch (query.kind) {
     case StoreQuery::Kind::Targets:
         if (query.afterKey.empty()) {
             m_listing.clear();
-            m_watchFrom = response.revision;
+            m_watchFrom = response.position.revision;
         }
         std::move(response.items.begin(), response.items.end(), std::back_inserter(m_listing));
         if (response.more) {
@@ -64,9 +90,10 @@
         }
         update.listingComplete = true;
         update.listing.swap(m_listing);
-        update.revision = m_watchFrom;
+        update.position.revision = m_watchFrom;
         m_nextAt = m_listedOnce ? now : now + m_settings.configurationDelay;
         m_listedOnce = true;
+        m_listingMayBeStale = false;
         m_query = {StoreQuery::Kind::Configuration, "", 0, milliseconds(0), false};
         break;
     case StoreQuery::Kind::Configuration:
@@ -77,7 +104,7 @@
     case StoreQuery::Kind::Watch:
         m_nextAt = response.items.empty() ? now : now + m_settings.batchDelay;
         update.items = std::move(response.items);
-        m_watchFrom = std::max(m_watchFrom, response.revision);
+        m_watchFrom = std::max(m_watchFrom, response.position.revision);
         m_query = {StoreQuery::Kind::Watch, "", m_watchFrom, m_settings.watchWait, false};
         break;
     }
@@ -91,6 +118,13 @@
         m_nextAt = now;
         return;
     }
+    if (failure == StoreFailure::OutdatedEra && query.kind == StoreQuery::Kind::Targets) {
+        m_listingMayBeStale = false;
+        restart();
+    }
+    if (m_query.kind == StoreQuery::Kind::Watch && failure != StoreFailure::RateLimited) {
+        m_query.wait = m_settings.firstWatchWait;
+    }
     // A pending watch may be interrupted at any time; an immediate retry costs one call and shows whether the store is available.
     const bool retryNow = query.kind == StoreQuery::Kind::Watch && failure == StoreFailure::Unreachable && m_backoff == milliseconds(0);
     if (!retryNow && failure != StoreFailure::RateLimited && !m_unavailableSince) {
--- a/src/mesh/storesync.h
+++ b/src/mesh/storesync.h
@@ -6,11 +6,12 @@
 //
 // Order of queries: the target listing page by page, the configuration, then one watch over everything, starting at the
 // revision of the listing's first page so that no write in between is missed. When the store no longer has the history
-// that a watch needs, the sequence restarts with the listing. After failures the delay doubles, with jitter, so that the
+// that a watch needs, or comes back in a new era, the sequence restarts with the listing. After failures the delay doubles, with jitter, so that the
 // nodes of a fleet do not all return at the same moment.
 #pragma once
 
 #include "kernel/clock.h"
+#include "mesh/storeposition.h"
 #include "mesh/targets.h"
 
 #include <cstdint>
@@ -25,7 +26,7 @@
 struct StoreItem {
     enum class Kind { Configuration, Target, Other } kind = Kind::Other;
     std::string id; ///< target id; only for kind Target
-    std::uint64_t revision = 0;
+    std::uint64_t revision = 0; ///< in the era of the response
     std::optional<std::string> value; ///< raw bytes; none: removed
 };
 
@@ -35,12 +36,13 @@
     std::uint64_t afterRevision = 0; ///< Watch: only changes after this revision of the store
     milliseconds wait{0}; ///< ms; Watch: how long the store may hold the query
     bool mayBeStale = false; ///< Targets: a response that is seconds old will do; the store charges less for it
+    bool operator==(const StoreQuery &) const = default;
 };
 const char *storeQueryName(StoreQuery::Kind kind); ///< "configuration", "targets", "watch"
 
 struct StoreResponse {
     std::vector<StoreItem> items;
-    std::uint64_t revision = 0; ///< revision of the store at this response
+    StorePosition position; ///< of the store at this response
     bool more = false; ///< Targets: another page follows
     std::string lastKey; ///< Targets: `afterKey` of the next page
 };
@@ -51,26 +53,29 @@
     RateLimited, ///< too many calls
     HistoryCompacted, ///< the store no longer has the history to continue the watch
     InvalidResponse, ///< the response could not be decoded
+    OutdatedEra, ///< the response is of an era before the current one
 };
 const char *storeFailureName(StoreFailure failure); ///< "unreachable", ...
 
 /// Changes that result from a response.
 struct StoreUpdate {
     std::vector<StoreItem> items; ///< apply one by one
-    bool listingComplete = false; ///< `listing` contains all targets as of `revision`
+    bool listingComplete = false; ///< `listing` contains all targets as of `position`
     std::vector<StoreItem> listing;
-    std::uint64_t revision = 0;
+    StorePosition position;
     bool recovered = false; ///< the store answers again after it was unavailable
+    bool outdated = false; ///< the response was of an earlier era and was ignored; the query is repeated
 };
 
 struct StoreSyncSettings {
     milliseconds watchWait{2'000}; ///< ms; upper bound for noticing a store that stopped responding
+    milliseconds firstWatchWait{1}; ///< ms; of the first watch after a failure: its response shows at once whether the era has risen
     milliseconds batchDelay{300}; ///< ms; changes that follow each other closely share a call; well below the 2 s allowed for draining
     milliseconds initialBackoff{100}; ///< ms; delay after the first failure, with jitter
     milliseconds maxBackoff{1'000}; ///< ms; well below the 2 s within which a removal must be seen
     milliseconds configurationDelay{0}; ///< ms; after the first listing, time for peers to deliver the configuration before it is read from the store
     milliseconds minOutageForDeferral{2'000}; ///< ms; entries do not expire during shorter outages, so removals are applied at once after them
-    milliseconds removalDeferral = LeaseRenewalGrace; ///< ms; removals are deferred for this long after the store recovers
+    milliseconds removalDeferral = LeaseRenewalGrace; ///< ms; removals are deferred for this long after the store recovers or a new era begins
     std::uint64_t seed = 0;
 };
 
@@ -88,6 +93,15 @@
     /// `retryAfter`: minimum delay in ms requested by the store; 0: none.
     void onFailure(TimePoint now, const StoreQuery &query, StoreFailure failure, milliseconds retryAfter);
 
+    /// Takes over an era that the store stated in a failed response, or that a peer knows. A higher one restarts with the
+    /// listing; then the result is true, and a query in flight should be dropped.
+    bool noteEra(TimePoint now, std::uint64_t era);
+    /// Highest era known; 0: none was stated.
+    std::uint64_t era() const
+    {
+        return m_era;
+    }
+
     /// Restarts with the listing. Needed when the watch was paused and peers delivered changes meanwhile.
     void restart();
     /// True from the first failure until the next response. A single interrupted watch, rate limiting and compacted
@@ -112,6 +126,8 @@
     std::uint64_t m_watchFrom = 0; ///< revision of the listing's first page, later of the last watch response
     std::vector<StoreItem> m_listing; ///< pages received so far
     bool m_listedOnce = false;
+    bool m_listingMayBeStale = true; ///< until a listing or a new era
+    std::uint64_t m_era = 0;
     TimePoint m_nextAt;
     milliseconds m_backoff{0};
     std::optional<TimePoint> m_unavailableSince;
--- a/src/wire/mesh_generated.h
+++ b/src/wire/mesh_generated.h
@@ -522,7 +522,8 @@
     VT_STORE_REVISION = 12,
     VT_TARGETS_DIGEST = 14,
     VT_LINK_MBPS = 16,
-    VT_STORE_AGE_MS = 18
+    VT_STORE_AGE_MS = 18,
+    VT_STORE_ERA = 20
   };
   int64_t sent_at() const {
     return GetField<int64_t>(VT_SENT_AT, 0);
@@ -548,6 +549,9 @@
   uint32_t store_age_ms() const {
     return GetField<uint32_t>(VT_STORE_AGE_MS, 4294967295);
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
@@ -560,6 +564,7 @@
            VerifyField<uint64_t>(verifier, VT_TARGETS_DIGEST, 8) &&
            VerifyField<uint32_t>(verifier, VT_LINK_MBPS, 4) &&
            VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -592,6 +597,9 @@
   void add_store_age_ms(uint32_t store_age_ms) {
     fbb_.AddElement<uint32_t>(Pulse::VT_STORE_AGE_MS, store_age_ms, 4294967295);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(Pulse::VT_STORE_ERA, store_era, 0);
+  }
   explicit PulseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -612,8 +620,10 @@
     uint64_t store_revision = 0,
     uint64_t targets_digest = 0,
     uint32_t link_mbps = 0,
-    uint32_t store_age_ms = 4294967295) {
+    uint32_t store_age_ms = 4294967295,
+    uint64_t store_era = 0) {
   PulseBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
   builder_.add_targets_digest(targets_digest);
   builder_.add_store_revision(store_revision);
   builder_.add_configuration(configuration);
@@ -634,7 +644,8 @@
     uint64_t store_revision = 0,
     uint64_t targets_digest = 0,
     uint32_t link_mbps = 0,
-    uint32_t store_age_ms = 4294967295) {
+    uint32_t store_age_ms = 4294967295,
+    uint64_t store_era = 0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   return Fescuenotch::MeshWire::CreatePulse(
       _fbb,
@@ -645,7 +656,8 @@
       store_revision,
       targets_digest,
       link_mbps,
-      store_age_ms);
+      store_age_ms,
+      store_era);
 }
 
 struct Beat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1887,7 +1899,11 @@
     VT_SLOTS = 18,
     VT_DRAINING = 20,
     VT_COLD_MS = 22,
-    VT_STARTED_AT_MS = 24
+    VT_STARTED_AT_MS = 24,
+    VT_SEQUENCE = 26,
+    VT_ERA = 28,
+    VT_STATED_IN_ERA = 30,
+    VT_REMOVE_IN_MS = 32
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1922,6 +1938,18 @@
   int64_t started_at_ms() const {
     return GetField<int64_t>(VT_STARTED_AT_MS, 0);
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  uint64_t stated_in_era() const {
+    return GetField<uint64_t>(VT_STATED_IN_ERA, 0);
+  }
+  uint32_t remove_in_ms() const {
+    return GetField<uint32_t>(VT_REMOVE_IN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ID) &&
@@ -1939,6 +1967,10 @@
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
            VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
            VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STATED_IN_ERA, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REMOVE_IN_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1980,6 +2012,18 @@
   void add_started_at_ms(int64_t started_at_ms) {
     fbb_.AddElement<int64_t>(TargetNewsRecord::VT_STARTED_AT_MS, started_at_ms, 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(TargetNewsRecord::VT_SEQUENCE, sequence, 0);
+  }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(TargetNewsRecord::VT_ERA, era, 0);
+  }
+  void add_stated_in_era(uint64_t stated_in_era) {
+    fbb_.AddElement<uint64_t>(TargetNewsRecord::VT_STATED_IN_ERA, stated_in_era, 0);
+  }
+  void add_remove_in_ms(uint32_t remove_in_ms) {
+    fbb_.AddElement<uint32_t>(TargetNewsRecord::VT_REMOVE_IN_MS, remove_in_ms, 0);
+  }
   explicit TargetNewsRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2004,10 +2048,18 @@
     uint32_t slots = 0,
     bool draining = false,
     uint32_t cold_ms = 0,
-    int64_t started_at_ms = 0) {
+    int64_t started_at_ms = 0,
+    uint64_t sequence = 0,
+    uint64_t era = 0,
+    uint64_t stated_in_era = 0,
+    uint32_t remove_in_ms = 0) {
   TargetNewsRecordBuilder builder_(_fbb);
+  builder_.add_stated_in_era(stated_in_era);
+  builder_.add_era(era);
+  builder_.add_sequence(sequence);
   builder_.add_started_at_ms(started_at_ms);
   builder_.add_revision(revision);
+  builder_.add_remove_in_ms(remove_in_ms);
   builder_.add_cold_ms(cold_ms);
   builder_.add_slots(slots);
   builder_.add_data_centre(data_centre);
@@ -2032,7 +2084,11 @@
     uint32_t slots = 0,
     bool draining = false,
     uint32_t cold_ms = 0,
-    int64_t started_at_ms = 0) {
+    int64_t started_at_ms = 0,
+    uint64_t sequence = 0,
+    uint64_t era = 0,
+    uint64_t stated_in_era = 0,
+    uint32_t remove_in_ms = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
@@ -2049,7 +2105,11 @@
       slots,
       draining,
       cold_ms,
-      started_at_ms);
+      started_at_ms,
+      sequence,
+      era,
+      stated_in_era,
+      remove_in_ms);
 }
 
 struct StateNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2059,7 +2119,8 @@
     VT_CONFIGURATION_SIZE = 6,
     VT_TARGETS = 8,
     VT_STORE_REVISION = 10,
-    VT_ALL_TARGETS = 12
+    VT_ALL_TARGETS = 12,
+    VT_STORE_ERA = 14
   };
   const flatbuffers::Vector<uint8_t> *configuration() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CONFIGURATION);
@@ -2076,6 +2137,9 @@
   bool all_targets() const {
     return GetField<uint8_t>(VT_ALL_TARGETS, 0) != 0;
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
@@ -2086,6 +2150,7 @@
            verifier.VerifyVectorOfTables(targets()) &&
            VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_ALL_TARGETS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -2109,6 +2174,9 @@
   void add_all_targets(bool all_targets) {
     fbb_.AddElement<uint8_t>(StateNews::VT_ALL_TARGETS, static_cast<uint8_t>(all_targets), 0);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(StateNews::VT_STORE_ERA, store_era, 0);
+  }
   explicit StateNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2126,8 +2194,10 @@
     uint32_t configuration_size = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::TargetNewsRecord>>> targets = 0,
     uint64_t store_revision = 0,
-    bool all_targets = false) {
+    bool all_targets = false,
+    uint64_t store_era = 0) {
   StateNewsBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
   builder_.add_store_revision(store_revision);
   builder_.add_targets(targets);
   builder_.add_configuration_size(configuration_size);
@@ -2142,7 +2212,8 @@
     uint32_t configuration_size = 0,
     const std::vector<flatbuffers::Offset<Fescuenotch::MeshWire::TargetNewsRecord>> *targets = nullptr,
     uint64_t store_revision = 0,
-    bool all_targets = false) {
+    bool all_targets = false,
+    uint64_t store_era = 0) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<Fescuenotch::MeshWire::TargetNewsRecord>>(*targets) : 0;
   return Fescuenotch::MeshWire::CreateStateNews(
@@ -2151,7 +2222,8 @@
       configuration_size,
       targets__,
       store_revision,
-      all_targets);
+      all_targets,
+      store_era);
 }
 
 struct StateRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2159,7 +2231,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CONFIGURATION = 4,
     VT_STORE_REVISION = 6,
-    VT_WHOLE = 8
+    VT_WHOLE = 8,
+    VT_STORE_ERA = 10
   };
   uint64_t configuration() const {
     return GetField<uint64_t>(VT_CONFIGURATION, 0);
@@ -2170,11 +2243,15 @@
   bool whole() const {
     return GetField<uint8_t>(VT_WHOLE, 0) != 0;
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -2192,6 +2269,9 @@
   void add_whole(bool whole) {
     fbb_.AddElement<uint8_t>(StateRequest::VT_WHOLE, static_cast<uint8_t>(whole), 0);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(StateRequest::VT_STORE_ERA, store_era, 0);
+  }
   explicit StateRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2207,8 +2287,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t configuration = 0,
     uint64_t store_revision = 0,
-    bool whole = false) {
+    bool whole = false,
+    uint64_t store_era = 0) {
   StateRequestBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
   builder_.add_store_revision(store_revision);
   builder_.add_configuration(configuration);
   builder_.add_whole(whole);
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -80,6 +80,11 @@
         return Platform::storeRequestTarget(query);
     }
 
+    Result<std::optional<std::uint64_t>> decodeStoreEra(const Headers &headers) const override
+    {
+        return Platform::decodeStoreEra(headers);
+    }
+
     Result<StoreResponse> decodeResponse(const StoreQuery &query, const std::string &body) const override
     {
         return Platform::decodeResponse(query, body);
--- a/tests/forward/statecodec_test.cpp
+++ b/tests/forward/statecodec_test.cpp
@@ -100,10 +100,11 @@
     record.state = TargetState::Draining;
     record.coldRemaining = milliseconds(1'500);
     record.startedAtMs = 1'700'000'000'000;
-    const std::vector<TargetUpdate> sent{{"t1", 12, record}, {"t2", 13, std::nullopt}};
+    record.sequence = 9;
+    const std::vector<TargetUpdate> sent{{"t1", {2, 12}, record, {}, 1, milliseconds(700)}, {"t2", {2, 13}, std::nullopt, {1'700'000'000'000, 8}, 2}};
     LinkFrameReader reader;
     reader.allowLargeFrames();
-    reader.append(encodeStateNews(nullptr, sent, true, 99));
+    reader.append(encodeStateNews(nullptr, sent, true, {2, 99}));
     const auto frame = valueOrError([&] { return reader.next(); });
     const auto *news = std::get<0>(frame)->message_as_StateNews();
     BOOST_REQUIRE(news != nullptr);
@@ -113,7 +114,12 @@
     BOOST_REQUIRE(got.size() == 2U);
     BOOST_TEST((got[0].record == sent[0].record));
     BOOST_TEST(!got[1].record.has_value());
-    BOOST_TEST(got[1].revision == 13U);
+    BOOST_TEST((got[0].position == StorePosition{2, 12}));
+    BOOST_TEST((got[0].statedInEra == sent[0].statedInEra));
+    BOOST_TEST((got[0].removeIn == milliseconds(700)));
+    BOOST_TEST((got[1].position == StorePosition{2, 13}));
+    BOOST_TEST((got[1].outdatedBefore == sent[1].outdatedBefore));
+    BOOST_TEST(news->store_era() == 2U);
 }
 
 /// Guards the cost of idle links: in a large fleet most links are idle, and traffic between data centres is charged for.
@@ -126,7 +132,7 @@
     heartbeat.report.meanServiceTime = microseconds(400'000);
     heartbeat.report.uplinkTimePerKib = microseconds(1'500);
     heartbeat.configuration = 34;
-    heartbeat.storeRevision = 900;
+    heartbeat.storePosition = {3, 900};
     heartbeat.targetsDigest = 0x1234'5678'9abc'def0;
     heartbeat.linkMbps = 6;
     const auto now = TimePoint(seconds(1'000));
@@ -136,4 +142,25 @@
     BOOST_TEST(3 * keepAliveBytes <= heartbeatBytes);
 }
 
+/// A node of the build before sends no era. Guards against its frames being refused in a rolling change.
+BOOST_AUTO_TEST_CASE(frames_withoutEra_readAsEraZero)
+{
+    flatbuffers::FlatBufferBuilder fbb;
+    const auto id = fbb.CreateString("t1");
+    MeshWire::TargetNewsRecordBuilder record(fbb);
+    record.add_id(id);
+    record.add_revision(12);
+    record.add_listed(true);
+    const auto records = fbb.CreateVector(std::vector{record.Finish()});
+    fbb.Finish(MeshWire::CreateStateNews(fbb, 0, 0, records, 99));
+    const auto *news = flatbuffers::GetRoot<MeshWire::StateNews>(fbb.GetBufferPointer());
+    const auto got = decodeTargetUpdates(*news);
+    BOOST_REQUIRE(got.size() == 1U);
+    BOOST_TEST((got[0].position == StorePosition{0, 12}));
+    BOOST_TEST(!got[0].statedInEra.has_value());
+    flatbuffers::FlatBufferBuilder pulse;
+    pulse.Finish(MeshWire::CreatePulse(pulse, 0, 0, 0, 5, 900));
+    BOOST_TEST((decodeHeartbeat(*flatbuffers::GetRoot<MeshWire::Pulse>(pulse.GetBufferPointer())).storePosition == StorePosition{0, 900}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/mesh/storesync_test.cpp
+++ b/tests/mesh/storesync_test.cpp
@@ -10,10 +10,12 @@
     TimePoint now = TimePoint(seconds(1'000));
     StoreSync sync{StoreSyncSettings{}};
 
-    static StoreResponse response(std::uint64_t revision, std::vector<StoreItem> items = {})
+    static constexpr std::uint64_t FirstEra = 1;
+
+    static StoreResponse response(std::uint64_t revision, std::vector<StoreItem> items = {}, std::uint64_t era = FirstEra)
     {
         StoreResponse r;
-        r.revision = revision;
+        r.position = {era, revision};
         r.items = std::move(items);
         return r;
     }
@@ -103,7 +105,7 @@
     const auto update = sync.onResponse(now, second, response(15, {{StoreItem::Kind::Target, "b", 14, "{}"}}));
     BOOST_TEST(update.listingComplete);
     BOOST_TEST(update.listing.size() == 2U);
-    BOOST_TEST(update.revision == 12U);
+    BOOST_TEST((update.position == StorePosition{FirstEra, 12}));
 }
 
 BOOST_AUTO_TEST_CASE(watch_historyCompacted_restartsAtOnce)
@@ -167,4 +169,82 @@
     BOOST_TEST((sync.nextAt() == now));
 }
 
+// ---- [era] ------------------------------------------------------------------------------------------------------
+
+/// The store came back from an older copy, whose revisions are below the ones seen. Guards against following the lost history.
+BOOST_AUTO_TEST_CASE(watch_answeredInHigherEra_listsAllAgainAtOnceAndWatchesFromLowerRevision)
+{
+    syncAll(100, 100);
+    sync.onResponse(now, nextQuery(), response(60, {}, 2));
+    BOOST_TEST((sync.nextAt() == now));
+    const auto listing = nextQuery();
+    BOOST_TEST((listing.kind == StoreQuery::Kind::Targets));
+    BOOST_TEST(!listing.mayBeStale);
+    const auto update = sync.onResponse(now, listing, response(61, {}, 2));
+    BOOST_TEST(update.listingComplete);
+    BOOST_TEST((update.position == StorePosition{2, 61}));
+    BOOST_TEST((nextQuery().kind == StoreQuery::Kind::Configuration));
+    sync.onResponse(now, nextQuery(), response(61, {}, 2));
+    BOOST_TEST(nextQuery().afterRevision == 61U);
+}
+
+/// Entries whose renewal was lost may expire right after the return although their targets run.
+BOOST_AUTO_TEST_CASE(newEra_noOutageSeen_removalsAreDeferred)
+{
+    syncAll();
+    sync.onResponse(now, nextQuery(), response(5, {}, 2));
+    BOOST_TEST((sync.removalsDeferredUntil() == now + LeaseRenewalGrace));
+}
+
+/// The second page of a listing is of the new era: the first one belongs to a lost history.
+BOOST_AUTO_TEST_CASE(listing_eraRisesBetweenPages_startsWithFirstPage)
+{
+    auto first = response(12, {{StoreItem::Kind::Target, "a", 3, "{}"}});
+    first.more = true;
+    first.lastKey = "a";
+    sync.onResponse(now, nextQuery(), first);
+    const auto update = sync.onResponse(now, nextQuery(), response(9, {{StoreItem::Kind::Target, "b", 9, "{}"}}, 2));
+    BOOST_TEST(!update.listingComplete);
+    BOOST_TEST((nextQuery().kind == StoreQuery::Kind::Targets));
+    BOOST_TEST(nextQuery().afterKey.empty());
+}
+
+/// A late answer or a stale read of the era before. Guards against its entries and its revision being taken over.
+BOOST_AUTO_TEST_CASE(response_ofEarlierEra_isIgnoredAndQueryIsRepeatedExactly)
+{
+    BOOST_TEST(sync.noteEra(now, 2));
+    const auto update = sync.onResponse(now, nextQuery(), response(90, {{StoreItem::Kind::Target, "a", 80, "{}"}}, 1));
+    BOOST_TEST(update.outdated);
+    BOOST_TEST(!update.listingComplete);
+    BOOST_TEST(sync.era() == 2U);
+    BOOST_TEST((sync.nextAt() > now));
+    BOOST_TEST((nextQuery().kind == StoreQuery::Kind::Targets));
+    BOOST_TEST(!nextQuery().mayBeStale);
+}
+
+/// A peer knows of the return first, and the pending watch still answers. Its revision must not be watched from.
+BOOST_AUTO_TEST_CASE(eraToldWhileWatchIsPending_listingComesNextWhateverTheWatchAnswers)
+{
+    syncAll(100, 100);
+    const auto watch = nextQuery();
+    BOOST_TEST(sync.noteEra(now, 2));
+    BOOST_TEST((nextQuery().kind == StoreQuery::Kind::Targets));
+    const auto update = sync.onResponse(now, watch, response(40, {{StoreItem::Kind::Target, "a", 40, "{}"}}, 2));
+    BOOST_TEST(update.items.size() == 1U);
+    BOOST_TEST((nextQuery().kind == StoreQuery::Kind::Targets));
+    BOOST_TEST(!sync.noteEra(now, 2));
+    BOOST_TEST(!sync.noteEra(now, 1));
+}
+
+/// A watch from a revision that exists again gets no 410. Only the answer's era shows the return, so the answer must not wait.
+BOOST_AUTO_TEST_CASE(watch_afterFailure_firstOneDoesNotWait)
+{
+    syncAll();
+    const auto usualWait = nextQuery().wait;
+    fail(StoreFailure::Unreachable);
+    BOOST_TEST((nextQuery().wait <= milliseconds(1)));
+    sync.onResponse(now, nextQuery(), response(13));
+    BOOST_TEST((nextQuery().wait == usualWait));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -105,7 +105,16 @@
     BOOST_TEST(!response.items[1].value.has_value());
     BOOST_TEST((response.items[2].kind == StoreItem::Kind::Configuration));
     BOOST_TEST((response.items[3].kind == StoreItem::Kind::Other));
-    BOOST_TEST(response.revision == 415U);
+    BOOST_TEST(response.position.revision == 415U);
+}
+
+BOOST_AUTO_TEST_CASE(decodeStoreEra_headerMissingOrInvalid_isNoneOrRejected)
+{
+    BOOST_TEST((valueOf([] { return P::decodeStoreEra({{"store-era", "7"}}); }) == std::optional<std::uint64_t>(7)));
+    BOOST_TEST((valueOf([] { return P::decodeStoreEra({{"Content-Type", "application/json"}}); }) == std::nullopt));
+    for (const auto *invalid : {"", "-1", "two", "1.5", "3 ", "99999999999999999999"}) {
+        BOOST_TEST((valueOrError([&] { return P::decodeStoreEra({{"Store-Era", invalid}}); }).index() == 1U));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(decodeResponse_itemWithInvalidBase64_otherItemsAreDecoded)
@@ -164,6 +173,7 @@
     BOOST_TEST(t.slots == 18U);
     BOOST_TEST((t.coldRemaining == milliseconds(1'500)));
     BOOST_TEST(t.startedAtMs == 1'700'000'000'000);
+    BOOST_TEST(t.sequence == 4U);
 }
 
 BOOST_AUTO_TEST_CASE(decodeTarget_fieldMissingOrInvalid_isRejected)
--- a/tests/support/storestandin.cpp
+++ b/tests/support/storestandin.cpp
@@ -77,6 +77,28 @@
     m_changed.notify_all();
 }
 
+void StoreStandin::snapshot()
+{
+    const std::lock_guard lock(m_mutex);
+    m_copiedItems = m_items;
+    m_copiedRevision = m_revision;
+}
+
+void StoreStandin::restore()
+{
+    const std::lock_guard lock(m_mutex);
+    m_items = m_copiedItems;
+    m_revision = m_copiedRevision;
+    m_statedEra = std::to_string(++m_era);
+    m_changed.notify_all();
+}
+
+void StoreStandin::stateEra(const std::optional<std::string> &value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_statedEra = value;
+}
+
 void StoreStandin::setPageItems(std::size_t items)
 {
     const std::lock_guard lock(m_mutex);
@@ -91,6 +113,16 @@
 }
 
 ServerReply StoreStandin::answer(const ServerCall &call)
+{
+    auto reply = answerWithoutEra(call);
+    const std::lock_guard lock(m_mutex);
+    if (m_statedEra) {
+        reply.headers.push_back({"Store-Era", *m_statedEra});
+    }
+    return reply;
+}
+
+ServerReply StoreStandin::answerWithoutEra(const ServerCall &call)
 {
     StoreFault fault = StoreFault::None;
     {
@@ -156,19 +188,26 @@
         }
         return list;
     };
-    m_changed.wait_until(lock, until, [&] { return after < m_oldestHistory || m_fault != StoreFault::None || !events().empty(); });
-    if (m_fault != StoreFault::None) {
+    const auto era = m_era;
+    const auto historyIsGone = [&] { return after < m_oldestHistory || after > m_revision; };
+    m_changed.wait_until(lock, until, [&] { return era != m_era || historyIsGone() || m_fault != StoreFault::None || !events().empty(); });
+    if (m_fault != StoreFault::None || era != m_era) {
         ServerReply reply;
         reply.dropConnection = true;
         return reply;
     }
-    if (after < m_oldestHistory) {
+    if (historyIsGone()) {
         return jsonReply(410, nlohmann::json{{"as_of", m_revision}}.dump());
     }
     return jsonReply(200, nlohmann::json{{"events", events()}, {"as_of", m_revision}}.dump());
 }
 
 std::string entryText(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state)
+{
+    return entryText(service, address, zone, state, EntryStatement{});
+}
+
+std::string entryText(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state, const EntryStatement &statement)
 {
     const nlohmann::json json{{"service", service},
                               {"address", toString(address)},
@@ -177,8 +216,8 @@
                               {"max_concurrency", 4},
                               {"state", state},
                               {"cold_remaining", "0ms"},
-                              {"sequence", 1},
-                              {"born", 1'700'000'000'000}};
+                              {"sequence", statement.sequence},
+                              {"born", statement.bornMs}};
     return json.dump();
 }
 
--- a/tests/support/storestandin.h
+++ b/tests/support/storestandin.h
@@ -29,6 +29,12 @@
     std::uint64_t remove(const std::string &key);
     void fault(StoreFault kind);
     void forgetHistory(); ///< watches from before are answered 410
+    /// Keeps a copy of the items, to which `restore` returns.
+    void snapshot();
+    /// Loses all that was written since `snapshot`, goes on with the revision after it, and raises the era. Pending watches are cut.
+    void restore();
+    /// Value of the header Store-Era in the answers that follow; none: no such header. `restore` states the true one again.
+    void stateEra(const std::optional<std::string> &value);
     void setPageItems(std::size_t items);
     unsigned calls(const std::string &path) const;
     const Endpoint &endpoint() const
@@ -43,6 +49,7 @@
     };
 
     Standins::ServerReply answer(const Standins::ServerCall &call);
+    Standins::ServerReply answerWithoutEra(const Standins::ServerCall &call);
     Standins::ServerReply answerKey(const Standins::ServerCall &call);
     Standins::ServerReply answerRange(const Standins::ServerCall &call);
     Standins::ServerReply answerWatch(const Standins::ServerCall &call);
@@ -52,6 +59,10 @@
     std::condition_variable m_changed;
     std::map<std::string, Item> m_items;
     std::uint64_t m_revision = 10;
+    std::uint64_t m_era = 1;
+    std::optional<std::string> m_statedEra = "1";
+    std::map<std::string, Item> m_copiedItems;
+    std::uint64_t m_copiedRevision = 0;
     std::uint64_t m_oldestHistory = 0; ///< revisions below are forgotten
     std::size_t m_pageItems = 500;
     StoreFault m_fault = StoreFault::None;
@@ -62,4 +73,11 @@
 /// Entry of a target in the store.
 std::string entryText(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state = "ready");
 
+/// The same with what the target says of its own lifetime.
+struct EntryStatement {
+    std::int64_t bornMs = 1'700'000'000'000; ///< ms since the Unix epoch
+    std::uint64_t sequence = 1;
+};
+std::string entryText(const std::string &service, const Endpoint &address, const std::string &zone, const std::string &state, const EntryStatement &statement);
+
 } // namespace Fescuenotch::Tests
