Store: scenarios of a store that comes back from a copy, and nodes that list the same take over its era

What engineers would see: nodes that do not watch the store stayed in the era before while their targets were the same, so fescuenotch_store_era differed (seen in the first run of the scenarios storeRestored_copyIsFromBeforeDrain_... and storeRestored_secondDataCentreMeetsEraThroughPeers_...). A heartbeat of a higher era with the same digest now suffices; nothing is sent.

--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -498,6 +498,12 @@
     return m_entry->table();
 }
 
+void MeshNode::onSameTargets(StorePosition position, const std::string &source)
+{
+    m_targets.onSameListing(m_loop.turnTime(), position);
+    advanceStorePosition(position, true, source);
+}
+
 StorePosition MeshNode::storePosition() const
 {
     return m_storePosition;
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -83,6 +83,7 @@
     RoutingTablePtr tableInForce() const override;
     void applyTable(const RoutingTablePtr &table, const std::string &source) override;
     void applyTargetUpdates(const std::vector<TargetUpdate> &updates, StorePosition position, bool allTargets, const std::string &source) override;
+    void onSameTargets(StorePosition position, const std::string &source) override;
     StorePosition storePosition() const override;
     bool hasEraRisen() const override;
     bool hasTargets() const override;
--- a/src/forward/stateexchange.cpp
+++ b/src/forward/stateexchange.cpp
@@ -63,6 +63,11 @@
     }
     const bool hasNewerConfiguration = heartbeat.configuration > versions.configuration && !m_decoding;
     const bool targetsDiffer = withEra(heartbeat.storePosition) >= versions.storePosition && heartbeat.targetsDigest != m_targets.digest();
+    const bool isOfNewEra = heartbeat.storePosition.era > versions.storePosition.era;
+    if (isOfNewEra && !targetsDiffer && m_owner.hasTargets()) {
+        m_owner.onSameTargets(heartbeat.storePosition, "peer");
+        versions = ownVersions();
+    }
     if (!hasNewerConfiguration && !targetsDiffer) {
         return;
     }
--- a/src/forward/stateexchange.h
+++ b/src/forward/stateexchange.h
@@ -33,6 +33,8 @@
     virtual void applyTable(const RoutingTablePtr &table, const std::string &source) = 0;
     /// `allTargets`: `updates` is the complete list of targets as of `position`, not only the changes.
     virtual void applyTargetUpdates(const std::vector<TargetUpdate> &updates, StorePosition position, bool allTargets, const std::string &source) = 0;
+    /// A peer lists the same targets as of `position`.
+    virtual void onSameTargets(StorePosition position, const std::string &source) = 0;
     virtual StorePosition storePosition() const = 0; ///< the list of targets includes every change up to here
     virtual bool hasEraRisen() const = 0; ///< the store came back from an older copy while this node ran
     virtual bool hasTargets() const = 0;
--- a/src/mesh/targets.cpp
+++ b/src/mesh/targets.cpp
@@ -178,10 +178,8 @@
 TargetTable::applyListing(TimePoint now, const std::vector<TargetUpdate> &listing, StorePosition position, TimePoint removalsDeferredUntil)
 {
     const bool isOutdated = position.era < m_listedAt.era;
-    if (position.era > m_listedAt.era) {
-        m_doubtUntil = std::max(removalsDeferredUntil, now + LeaseRenewalGrace);
-    }
-    m_listedAt = std::max(m_listedAt, position);
+    onSameListing(now, position);
+    m_doubtUntil = std::max(m_doubtUntil, removalsDeferredUntil);
     std::vector<TargetChange> changes;
     std::set<std::string> listed;
     for (const auto &update : listing) {
@@ -205,6 +203,14 @@
     return changes;
 }
 
+void TargetTable::onSameListing(TimePoint now, StorePosition position)
+{
+    if (position.era > m_listedAt.era) {
+        m_doubtUntil = now + LeaseRenewalGrace;
+    }
+    m_listedAt = std::max(m_listedAt, position);
+}
+
 std::vector<TargetChange> TargetTable::tick(TimePoint now)
 {
     std::vector<TargetChange> changes;
--- a/src/mesh/targets.h
+++ b/src/mesh/targets.h
@@ -88,6 +88,8 @@
     /// Applies a complete listing as of `position`: entries that are not in it and not newer are removed, or are in doubt if
     /// they are from an earlier era.
     std::vector<TargetChange> applyListing(TimePoint now, const std::vector<TargetUpdate> &listing, StorePosition position, TimePoint removalsDeferredUntil);
+    /// Takes over the position of a complete listing that lists the same as this table.
+    void onSameListing(TimePoint now, StorePosition position);
     /// Applies deferred removals that are due and deletes old tombstones.
     std::vector<TargetChange> tick(TimePoint now);
 
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -309,6 +309,13 @@
     return text.substr(start, text.find('\n', start) - start);
 }
 
+std::string MeshFixture::statusOf(std::size_t n) const
+{
+    auto socket = RawSocket::connectTo(m_hosts[n]->settings.healthListen);
+    socket.send("GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    return socket.receiveAll();
+}
+
 unsigned MeshFixture::totalRequests() const
 {
     std::size_t n = 0;
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -82,6 +82,7 @@
     Endpoint callerEndpoint(std::size_t n) const;
     Endpoint nextTargetAddress() const; ///< of the next node that `addNode` adds
     std::string metric(std::size_t n, const std::string &line) const; ///< value of a metric as text; empty if there is none
+    std::string statusOf(std::size_t n) const; ///< the page /status
     unsigned totalRequests() const; ///< requests received by all targets, without raw ones
 
     /// Sends one request on a new connection and returns the raw answer.
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -1,4 +1,4 @@
-// Sections: [forwarding] [callers] [failing targets] [changes] [stop]
+// Sections: [forwarding] [callers] [failing targets] [changes] [eras of the store] [stop]
 #include "tests/forward/meshfixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -545,6 +545,169 @@
     }
 }
 
+// ---- [eras of the store] ----------------------------------------------------------------------------------------
+
+/// The store comes back from a copy of before a drain, and gives revisions out again. Guards against requests to the target that
+/// drains, and against a drain at a low revision being missed.
+BOOST_AUTO_TEST_CASE(storeRestored_copyIsFromBeforeDrain_drainingTargetGetsNoRequests)
+{
+    for (int n = 0; n < 3; ++n) {
+        addNode("desk");
+    }
+    publish(1);
+    waitReady();
+    store.snapshot();
+    const auto address = [&](std::size_t n) { return Endpoint{callerEndpoint(n).host, nextTargetAddress().port}; };
+    for (int n = 0; n < 20; ++n) {
+        store.put("other/key", std::to_string(n)); // raises the revision far above the copy's
+    }
+    store.put("servers/t1", entryText("desk", address(1), "one", "draining", {1'700'000'000'000, 5}));
+    for (std::size_t n = 0; n < 3; ++n) {
+        BOOST_REQUIRE(waitUntil([&] { return contains(statusOf(n), "draining"); }));
+    }
+    store.restore();
+    for (std::size_t n = 0; n < 3; ++n) {
+        BOOST_TEST(waitUntil([&] { return metric(n, "fescuenotch_store_era") == "2"; }, seconds(3)));
+    }
+    const auto before = target(1).requests().size();
+    for (int n = 0; n < 30; ++n) {
+        get(0, "/read/x");
+    }
+    BOOST_TEST(target(1).requests().size() == before);
+    // A drain in the new era has a revision below those of the old one.
+    store.put("servers/t2", entryText("desk", address(2), "one", "draining", {1'700'000'000'000, 6}));
+    std::this_thread::sleep_for(seconds(1));
+    const auto beforeSecond = target(2).requests().size();
+    for (int n = 0; n < 30; ++n) {
+        get(0, "/read/x");
+    }
+    BOOST_TEST(target(2).requests().size() == beforeSecond);
+}
+
+/// A target joined after the copy. Guards against its requests ending before it writes again, and against it staying for good.
+BOOST_AUTO_TEST_CASE(storeRestored_entryMissingInCopy_isUsedWithinGraceAndGoneUnlessWrittenAgain)
+{
+    addNode("desk");
+    addNode("desk");
+    publish(1);
+    waitReady();
+    store.snapshot();
+    addNode("feed");
+    addNode("feed");
+    waitReady();
+    store.restore();
+    BOOST_REQUIRE(waitUntil([&] { return metric(0, "fescuenotch_store_entries_in_doubt") == "2"; }, seconds(2)));
+    BOOST_TEST(contains(get(0, "/feed/x"), "200 OK"));
+    store.put("servers/t3", entryText("feed", {callerEndpoint(3).host, nextTargetAddress().port}, "one"));
+    for (std::size_t n = 0; n < 4; ++n) {
+        BOOST_TEST(waitUntil([&] { return metric(n, "fescuenotch_mesh_targets") == "3"; }, seconds(4)));
+        BOOST_TEST(metric(n, "fescuenotch_store_entries_in_doubt") == "0");
+    }
+    BOOST_TEST(contains(get(0, "/feed/x"), "from t3"));
+}
+
+/// A target started again under its id after the copy, and again in the new era. Two drills in a row.
+BOOST_AUTO_TEST_CASE(storeRestoredTwice_targetReplacedAndConfigurationNewer_newestOfBothStayInForce)
+{
+    addNode("desk");
+    addNode("feed");
+    publish(4);
+    waitReady();
+    store.snapshot();
+    const Endpoint address{callerEndpoint(1).host, nextTargetAddress().port};
+    for (std::uint64_t drill = 1; drill <= 2; ++drill) {
+        publish(4 + drill, "feed");
+        store.put("servers/t1", entryText("feed", address, "one", "draining", {1'700'000'000'000 + static_cast<std::int64_t>(drill), 1}));
+        BOOST_REQUIRE(waitUntil([&] { return metric(0, "fescuenotch_mesh_configuration_version") == std::to_string(4 + drill); }));
+        for (std::size_t n = 0; n < 2; ++n) {
+            BOOST_REQUIRE(waitUntil([&] { return contains(statusOf(n), "draining"); }));
+        }
+        store.restore();
+        const auto era = std::to_string(1 + drill);
+        for (std::size_t n = 0; n < 2; ++n) {
+            BOOST_TEST(waitUntil([&] { return metric(n, "fescuenotch_store_era") == era; }, seconds(3)));
+            BOOST_TEST(metric(n, "fescuenotch_mesh_configuration_version") == std::to_string(4 + drill));
+            BOOST_TEST(contains(statusOf(n), "draining"));
+        }
+        // A new lifetime under the same id is used although its revision is low.
+        store.put("servers/t1", entryText("feed", address, "one", "ready", {1'700'000'000'100 * static_cast<std::int64_t>(drill), 1}));
+        BOOST_TEST(waitUntil([&] { return !contains(statusOf(0), "draining"); }, seconds(2)));
+    }
+    // A node that starts meanwhile reads the old configuration from the store and the one in force from its peers.
+    addNode("desk");
+    waitReady();
+    BOOST_TEST(waitUntil([&] { return metric(2, "fescuenotch_mesh_configuration_version") == "6"; }, seconds(3)));
+}
+
+/// A data centre that cannot reach the store learns of the new era from its peers.
+BOOST_AUTO_TEST_CASE(storeRestored_secondDataCentreMeetsEraThroughPeers_followsWithoutHerdOfCalls)
+{
+    for (int n = 0; n < 6; ++n) {
+        addNode("desk", n % 2 == 0 ? "one" : "two");
+    }
+    publish(1);
+    waitReady();
+    std::this_thread::sleep_for(seconds(3)); // the nodes agree on those that watch
+    store.snapshot();
+    store.put("servers/late", entryText("desk", {"127.0.0.1", 1}, "one"));
+    BOOST_REQUIRE(waitUntil([&] { return metric(5, "fescuenotch_mesh_targets") == "7"; }));
+    const auto listings = store.calls("/kv-range");
+    store.restore();
+    for (std::size_t n = 0; n < 6; ++n) {
+        BOOST_TEST(waitUntil([&] { return metric(n, "fescuenotch_store_era") == "2"; }, seconds(3)));
+    }
+    for (std::size_t n = 0; n < 6; ++n) {
+        BOOST_TEST(waitUntil([&] { return metric(n, "fescuenotch_mesh_targets") == "6"; }, seconds(4)));
+    }
+    BOOST_TEST_MESSAGE("listings at the change of era: " << store.calls("/kv-range") - listings);
+    BOOST_TEST(store.calls("/kv-range") - listings <= 2U); // one watching node in each data centre
+}
+
+/// The store's era header is missing, invalid or falls. Guards against dropping what is known, and against missing later changes.
+BOOST_AUTO_TEST_CASE(storeEra_missingOrInvalid_lastEraStaysAndChangesArrive)
+{
+    addNode("desk");
+    addNode("feed");
+    publish(1);
+    waitReady();
+    std::uint64_t version = 2;
+    for (const auto &stated : {std::optional<std::string>(), std::optional<std::string>("-3"), std::optional<std::string>("x")}) {
+        store.stateEra(stated);
+        publish(version, version % 2 == 0 ? "feed" : "desk");
+        BOOST_TEST(waitUntil([&] { return metric(0, "fescuenotch_mesh_configuration_version") == std::to_string(version); }, seconds(3)));
+        BOOST_TEST(metric(0, "fescuenotch_store_era") == "1");
+        BOOST_TEST(metric(0, "fescuenotch_mesh_targets") == "2");
+        ++version;
+    }
+    store.stateEra("0");
+    std::this_thread::sleep_for(milliseconds(500));
+    BOOST_TEST(metric(0, "fescuenotch_store_era") == "1");
+    BOOST_TEST(metric(0, "fescuenotch_mesh_targets") == "2");
+    BOOST_TEST(contains(get(0, "/read/x"), "200 OK"));
+}
+
+/// A node starts just before the store comes back from a copy in which its own target is missing.
+BOOST_AUTO_TEST_CASE(storeRestored_nodeRestartsMeanwhile_knowsWhatItsPeersKnow)
+{
+    addNode("desk");
+    addNode("desk");
+    publish(3);
+    waitReady();
+    store.snapshot();
+    publish(7);
+    store.put("servers/t1", entryText("desk", {callerEndpoint(1).host, nextTargetAddress().port}, "one", "draining", {1'700'000'000'000, 9}));
+    BOOST_REQUIRE(waitUntil([&] { return contains(statusOf(0), "draining"); }));
+    store.fault(StoreFault::Lost);
+    addNode("desk");
+    store.restore();
+    store.put("servers/t2", entryText("desk", {callerEndpoint(2).host, nextTargetAddress().port}, "one"));
+    store.fault(StoreFault::None);
+    waitReady();
+    BOOST_TEST(waitUntil([&] { return metric(2, "fescuenotch_store_era") == "2"; }, seconds(3)));
+    BOOST_TEST(waitUntil([&] { return metric(2, "fescuenotch_mesh_configuration_version") == "7"; }, seconds(3)));
+    BOOST_TEST(waitUntil([&] { return contains(statusOf(2), "draining"); }, seconds(3)));
+}
+
 // ---- [stop] -----------------------------------------------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(stop_requestsInFlight_areAnsweredCompletely)
