Load balancing: large answers sent since the last report count as load of the host's link

Cause: transferTime uses the delay of the last report; requests sent since add slots but no link time, and all entry nodes that see the same free link choose it, since only costs within a tenth of the lowest are drawn from. The link's delay and the target's work were also added up, although the link drains while the target works. Now expected large answers sent since the report are added, the longer of work and link delay counts, and a download draws among all hosts within a quarter of the time to its goal. Tests, both failed before: choose_manyEntryNodesSeeOneFreeLink_largeResponsesAreSpread (40 of 40 nodes chose the same link), choose_downloadsSentSinceReport_countAsLoadOfTheLink (0 of 10 went to the second link).

--- a/src/forward/entrycontext.cpp
+++ b/src/forward/entrycontext.cpp
@@ -115,7 +115,7 @@
 
 std::unique_ptr<ForwardStream> EntryContext::openStream(const TargetRecord &target, ForwardRequest request, ForwardListener &listener)
 {
-    loadBalancer.onSent(now(), target.id);
+    loadBalancer.onSent(now(), target.id, request.route);
     return isLocal(target) ? m_dependencies.localForwarder->open(std::move(request), listener)
                            : m_dependencies.links->open(peerEndpoint(target), std::move(request), listener);
 }
--- a/src/mesh/loadbalancer.cpp
+++ b/src/mesh/loadbalancer.cpp
@@ -19,6 +19,11 @@
 constexpr double BytesPerKib = 1'024;
 constexpr std::size_t MaxKinds = 1'024; ///< bounds memory; beyond this all sizes are forgotten
 
+bool isBulk(double kib)
+{
+    return kib * BytesPerKib > static_cast<double>(MaxSmallResponseBytes);
+}
+
 } // namespace
 
 LoadBalancer::LoadBalancer(const LoadBalancerSettings &settings)
@@ -69,12 +74,21 @@
     return queued * service / limit + UtilizationSurcharge * utilization * utilization * service;
 }
 
-double LoadBalancer::responseKib(const BalancedRequest &request) const
+double LoadBalancer::responseKib(const std::string &kind) const
 {
-    const auto size = m_responseKib.find(request.kind);
+    const auto size = m_responseKib.find(kind);
     return size == m_responseKib.end() ? 0 : size->second;
 }
 
+/// In seconds, until the link has sent the large responses that are ahead of this request's.
+double LoadBalancer::linkDelay(const TargetRecord &target, const BalancedRequest &request, const TargetStatistics &state) const
+{
+    if (target.address.host == m_settings.host || !isBulk(responseKib(request.kind))) {
+        return 0;
+    }
+    return secondsOf(state.report.uplinkDelay) + state.kibSinceReport * secondsOf(state.report.uplinkTimePerKib);
+}
+
 /// In seconds.
 double LoadBalancer::transferTime(const TargetRecord &target, const BalancedRequest &request, const TargetReport &report) const
 {
@@ -82,9 +96,8 @@
         return 0;
     }
     const double roundTrip = target.dataCentre == m_settings.dataCentre ? 0 : secondsOf(m_settings.crossDataCentreRoundTrip);
-    const double kib = responseKib(request);
-    const bool isBulk = kib * BytesPerKib > static_cast<double>(MaxSmallResponseBytes);
-    return isBulk ? roundTrip + secondsOf(report.uplinkDelay) + kib * secondsOf(report.uplinkTimePerKib) : roundTrip;
+    const double kib = responseKib(request.kind);
+    return isBulk(kib) ? roundTrip + kib * secondsOf(report.uplinkTimePerKib) : roundTrip;
 }
 
 /// In seconds. Stands for the price of traffic between data centres.
@@ -93,7 +106,7 @@
     if (target.dataCentre == m_settings.dataCentre) {
         return 0;
     }
-    return goal * m_settings.crossDataCentreGoalShare + responseKib(request) * secondsOf(m_settings.crossDataCentreTimePerKib);
+    return goal * m_settings.crossDataCentreGoalShare + responseKib(request.kind) * secondsOf(m_settings.crossDataCentreTimePerKib);
 }
 
 double LoadBalancer::costOf(TimePoint now, const TargetRecord &target, const BalancedRequest &request, double defaultServiceTime) const
@@ -105,7 +118,8 @@
     if (target.coldRemaining > milliseconds(0) && state.report.meanServiceTime == microseconds(0)) {
         service *= ColdFactor;
     }
-    const double time = service + queueDelay(now, target, state, service) + transferTime(target, request, state.report);
+    const double time
+        = std::max(service + queueDelay(now, target, state, service), linkDelay(target, request, state)) + transferTime(target, request, state.report);
     const double goal = std::max(secondsOf(request.timeToGoal), service);
     const double failed = std::max(state.failureRate, state.report.failureRate);
     double cost = time + failed * FailureSurcharge * goal + crossDataCentreSurcharge(target, request, goal);
@@ -132,9 +146,11 @@
         costs.push_back(costOf(now, *target, request, defaultServiceTime));
     }
     const auto cheapest = *std::min_element(costs.begin(), costs.end());
+    const auto linkTolerance = isBulk(responseKib(request.kind)) ? secondsOf(request.timeToGoal) * m_settings.linkGoalTolerance : 0.0;
+    const auto highest = std::max(cheapest * m_settings.costTolerance, cheapest + linkTolerance);
     std::vector<const TargetRecord *> cheapestTargets;
     for (std::size_t n = 0; n < options.size(); ++n) {
-        if (costs[n] <= cheapest * m_settings.costTolerance) {
+        if (costs[n] <= highest) {
             cheapestTargets.push_back(options[n]);
         }
     }
@@ -142,11 +158,13 @@
     return *cheapestTargets[draw(m_random)];
 }
 
-void LoadBalancer::onSent(TimePoint, const std::string &targetId)
+void LoadBalancer::onSent(TimePoint, const std::string &targetId, const std::string &kind)
 {
     auto &state = m_targets[targetId];
     ++state.inFlight;
     ++state.sentSinceReport;
+    const auto kib = responseKib(kind);
+    state.kibSinceReport += isBulk(kib) ? kib : 0;
 }
 
 void LoadBalancer::onEnded(TimePoint now, const std::string &targetId, SendResult result)
@@ -173,6 +191,7 @@
     state.report = report;
     state.reportedAt = now;
     state.sentSinceReport = 0;
+    state.kibSinceReport = 0;
 }
 
 void LoadBalancer::onResponseSize(const std::string &kind, std::size_t bytes)
--- a/src/mesh/loadbalancer.h
+++ b/src/mesh/loadbalancer.h
@@ -6,7 +6,9 @@
 //
 // Each target gets an expected cost in seconds: waiting for a slot, service time, transfer time, and a surcharge for its
 // failure rate. Requests sent since the target's last report are added to its reported load. One of the cheapest targets is
-// drawn at random, so that entry nodes with the same information do not all select the same target.
+// drawn at random, so that entry nodes with the same information do not all select the same target. A large response waits for
+// the host's link while the target works on it, so the longer of both counts; the draw is wider for it, since a link that
+// looks free to many entry nodes is full before the next report.
 //
 // Usage: call `onReport` for each load report from an exit node, `choose` for each request, and `onSent` and `onEnded`
 // around it.
@@ -48,6 +50,8 @@
     Duration crossDataCentreTimePerKib
         = milliseconds(4); ///< ms per KiB; traffic between data centres is paid for, so a download leaves only if it would miss its goal
     double costTolerance = 1.1; ///< targets within this factor of the lowest cost are candidates for the random draw
+    double linkGoalTolerance
+        = 0.25; ///< of the time to the goal; targets within this much of the lowest cost are candidates for a request with a large response
     std::size_t maxCompared = 24; ///< targets evaluated per request; a random sample if there are more
 };
 
@@ -64,7 +68,8 @@
     explicit LoadBalancer(const LoadBalancerSettings &settings);
     /// Prefers targets to whose host a link exists. Returns nothing when every candidate is excluded or avoided.
     std::optional<TargetRecord> choose(TimePoint now, const std::vector<TargetRecord> &candidates, const BalancedRequest &request);
-    void onSent(TimePoint now, const std::string &targetId);
+    /// `kind` is the name of the route; a large response that is expected counts as load of the target's link.
+    void onSent(TimePoint now, const std::string &targetId, const std::string &kind);
     void onEnded(TimePoint now, const std::string &targetId, SendResult result);
     void onReport(TimePoint now, const std::string &targetId, const TargetReport &report);
     /// Response size of a kind of request; large responses are charged for their transfer.
@@ -83,12 +88,14 @@
         TimePoint reportedAt = TimePoint::min();
         unsigned inFlight = 0; ///< requests of this node
         unsigned sentSinceReport = 0;
+        double kibSinceReport = 0; ///< expected large responses of the requests sent since the report
         double failureRate = 0; ///< 0 to 1; measured by this node
         TimePoint avoidUntil = TimePoint::min();
         bool linked = false; ///< a link to its host exists, so a request reaches it without delay
     };
 
-    double responseKib(const BalancedRequest &request) const;
+    double responseKib(const std::string &kind) const;
+    double linkDelay(const TargetRecord &target, const BalancedRequest &request, const TargetStatistics &state) const;
     double transferTime(const TargetRecord &target, const BalancedRequest &request, const TargetReport &report) const;
     double crossDataCentreSurcharge(const TargetRecord &target, const BalancedRequest &request, double goal) const;
     double costOf(TimePoint now, const TargetRecord &target, const BalancedRequest &request, double defaultServiceTime) const;
--- a/tests/mesh/loadbalancer_test.cpp
+++ b/tests/mesh/loadbalancer_test.cpp
@@ -108,7 +108,7 @@
 {
     addTargets("one", 2);
     auto balancer = makeBalancer();
-    balancer.onSent(now, "one0");
+    balancer.onSent(now, "one0", request.kind);
     balancer.onEnded(now, "one0", SendResult::Replaced);
     BOOST_TEST(chooseMany(balancer, 50)["one0"] == 0U);
 }
@@ -182,13 +182,57 @@
     BOOST_TEST(chooseMany(balancer, 50)["one0"] == 0U);
 }
 
+/// Guards against all entry nodes sending their downloads to the one host whose link the last reports show as free: before its next
+/// report it would get as many as its link carries in seconds.
+BOOST_AUTO_TEST_CASE(choose_manyEntryNodesSeeOneFreeLink_largeResponsesAreSpread)
+{
+    constexpr unsigned EntryNodes = 40;
+    addTargets("one", 5);
+    request = {"download", seconds(1), {}};
+    std::map<std::string, unsigned> counts;
+    for (unsigned node = 0; node < EntryNodes; ++node) {
+        auto balancer = makeBalancer((node + 1) * 50'000'017ULL);
+        balancer.onResponseSize("download", 90'000);
+        for (unsigned n = 0; n < targets.size(); ++n) {
+            auto load = report(2, milliseconds(100));
+            load.uplinkTimePerKib = microseconds(1'500);
+            load.uplinkDelay = milliseconds(n == 0 ? 0 : 200 + 10 * n);
+            balancer.onReport(now, targets[n].id, load);
+        }
+        ++counts[balancer.choose(now, targets, request)->id];
+    }
+    BOOST_TEST(counts["one0"] <= EntryNodes / 2);
+}
+
+/// Guards against a burst of downloads from one entry node that all go to the same link because no report has come since.
+BOOST_AUTO_TEST_CASE(choose_downloadsSentSinceReport_countAsLoadOfTheLink)
+{
+    addTargets("one", 2);
+    request = {"download", seconds(1), {}};
+    auto balancer = makeBalancer();
+    balancer.onResponseSize("download", 90'000);
+    for (unsigned n = 0; n < targets.size(); ++n) {
+        auto load = report(0, milliseconds(100));
+        load.uplinkTimePerKib = microseconds(1'500);
+        load.uplinkDelay = milliseconds(n == 0 ? 0 : 500);
+        balancer.onReport(now, targets[n].id, load);
+    }
+    std::map<std::string, unsigned> sent;
+    for (int n = 0; n < 10; ++n) {
+        const auto chosen = balancer.choose(now, targets, request);
+        balancer.onSent(now, chosen->id, request.kind);
+        ++sent[chosen->id];
+    }
+    BOOST_TEST(sent["one1"] >= 2U);
+}
+
 /// A target fails half of its requests although its health check passes.
 BOOST_AUTO_TEST_CASE(choose_targetFailsHalf_isAvoidedWhileOthersHaveSlots)
 {
     addTargets("one", 3);
     auto balancer = makeBalancer();
     for (int n = 0; n < 40; ++n) {
-        balancer.onSent(now, "one0");
+        balancer.onSent(now, "one0", request.kind);
         balancer.onEnded(now, "one0", n % 2 == 0 ? SendResult::Failed : SendResult::Served);
     }
     BOOST_TEST(chooseMany(balancer, 100)["one0"] == 0U);
@@ -217,7 +261,7 @@
     std::map<std::string, unsigned> sent;
     for (int n = 0; n < 40; ++n) {
         const auto chosen = balancer.choose(now, targets, request);
-        balancer.onSent(now, chosen->id);
+        balancer.onSent(now, chosen->id, request.kind);
         ++sent[chosen->id];
     }
     for (const auto &target : targets) {
