--- a/src/mesh/targets.h
+++ b/src/mesh/targets.h
@@ -48,6 +48,7 @@
 struct TargetStatement {
     std::int64_t startedAtMs = 0;
     std::uint64_t sequence = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 of a defaulted <=> for a null pointer
     auto operator<=>(const TargetStatement &) const = default;
 };
 
--- a/tests/mesh/erasearch_test.cpp
+++ b/tests/mesh/erasearch_test.cpp
@@ -55,7 +55,7 @@
     std::optional<Message> heldUp;
 };
 
-const TimePoint Now = TimePoint(seconds(1'000));
+constexpr TimePoint Now = TimePoint(seconds(1'000));
 
 const std::vector<TargetUpdate> &copy()
 {
