Soak: real nodes under seeded, overlapping faults

soak/ starts six real nodes with settings files, a store stand-in, targets and proxies for the connections of peers and to the store. Rounds are planned (stops, further signals, SIGHUPs, new configurations, a store that refuses or loses answers) and rough (also SIGKILL, SIGSTOP, proxies that delay, reset, go silent or cut one way) in turn, three series at a time, drawn from a printed seed. It checks by what callers and targets see: non-idempotent requests run at most once, refused ones never, answers are whole and their own, a planned stop cuts nothing and ends with status 0 in time, no configuration older than one seen from the same process, all routes served again after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # make            builds build/fescuenotch
 # make demo       sets up, builds and shows the whole path in separate processes
 # make test       sets up, builds and runs every test
+# make soak       real nodes under faults: SEEDS="1 2 3" one run for each
 # make bench      runs every experiment; tables and plots under build/report/
 # make lint       formatter and linter
 BUILD ?= build
@@ -9,7 +10,9 @@
 	zlib1g-dev
 LINT_PACKAGES := clang-format clang-tidy
 
-.PHONY: all setup setup-lint configure demo test test-asan test-tsan bench lint format clean
+SEEDS ?= 1 2 3 4 5
+
+.PHONY: all setup setup-lint configure demo test test-asan test-tsan soak bench lint format clean
 
 all: configure
 	cmake --build $(BUILD)
@@ -37,6 +40,9 @@
 test-tsan:
 	$(MAKE) test BUILD=build-tsan CMAKE_FLAGS=-DFESCUENOTCH_SANITIZE=thread
 
+soak: all
+	@failed=0; for seed in $(SEEDS); do FESCUENOTCH_BUILD=$(BUILD) $(BUILD)/fescuenotch-soak --seed $$seed --rounds 8 || failed=1; done; exit $$failed
+
 bench: all
 	bash tools/bench.sh $(BUILD)
 
--- /dev/null
+++ b/soak/checks.cpp
@@ -0,0 +1,188 @@
+#include "soak/checks.h"
+
+#include "platform/names.h"
+
+#include <stdexcept>
+
+namespace Fescuenotch::Soak {
+
+namespace {
+
+constexpr milliseconds ProbePeriod{50}; ///< ms between looks at one node
+constexpr milliseconds ProbeLimit{1'000}; ///< ms for one answer
+constexpr unsigned ProbedVersions = 3; ///< the newest ones
+constexpr milliseconds RecoveryLimit{15'000}; ///< ms; the platform's bound for recovery
+constexpr milliseconds LateRunLimit{1'000}; ///< ms in which a request that was refused could still run
+constexpr std::array<const char *, 3> Paths{"/read/20", "/file/20", "/feed/5/60000"};
+
+/// Whether a request on a new connection to `endpoint` is answered with 200.
+bool isServed(const Endpoint &endpoint, const std::string &path, const std::string &id)
+{
+    try {
+        auto socket = RawSocket::connectTo(endpoint);
+        socket.send("GET " + path + " HTTP/1.1\r\nHost: desk\r\n" + Platform::RequestIdHeader + ": " + id + "\r\nConnection: close\r\n\r\n");
+        return socket.receiveUntil("\r\n\r\n", ProbeLimit).rfind("HTTP/1.1 200", 0) == 0;
+    } catch (const std::runtime_error &) {
+        return false;
+    }
+}
+
+} // namespace
+
+// ---- [configuration] --------------------------------------------------------------------------------------------
+
+VersionProbe::VersionProbe(SoakFleet &fleet, std::size_t host)
+    : m_fleet(fleet)
+    , m_host(fleet.host(host))
+    , m_thread([this] { work(); })
+{
+}
+
+VersionProbe::~VersionProbe()
+{
+    stop();
+}
+
+void VersionProbe::stop()
+{
+    m_stopped = true;
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+const std::vector<std::string> &VersionProbe::problems() const
+{
+    return m_problems;
+}
+
+void VersionProbe::work()
+{
+    while (!m_stopped) {
+        look();
+        std::this_thread::sleep_for(ProbePeriod);
+    }
+}
+
+void VersionProbe::look()
+{
+    const auto newest = m_fleet.newestVersion();
+    const auto life = m_host.life();
+    for (auto version = newest; version > 0 && version + ProbedVersions > newest; --version) {
+        if (!isServed(m_host.node().callerEndpoint(), SoakFleet::versionPath(version) + "0", "probe")) {
+            continue;
+        }
+        if (life != m_host.life()) {
+            return; // either process may have answered
+        }
+        if (life == m_life && version < m_newest) {
+            m_problems.push_back(m_host.node().place().name + ": configuration " + std::to_string(version) + " after " + std::to_string(m_newest));
+        }
+        m_newest = life == m_life ? std::max(m_newest, version) : version;
+        m_life = life;
+        return;
+    }
+}
+
+// ---- [calls] ----------------------------------------------------------------------------------------------------
+
+Checks::Checks(SoakFleet &fleet)
+    : m_fleet(fleet)
+{
+    for (std::size_t n = 0; n < fleet.size(); ++n) {
+        const auto &node = fleet.host(n).node();
+        for (const auto *path : Paths) {
+            const auto name = node.place().name + std::string(path).substr(0, 5);
+            m_callers.push_back(std::make_unique<Tests::KeptCaller>(name, node.callerEndpoint(), path));
+        }
+        m_probes.push_back(std::make_unique<VersionProbe>(fleet, n));
+    }
+}
+
+void Checks::beginRound(RoundKind kind)
+{
+    if (kind == RoundKind::Planned) {
+        m_round = PlannedRound{Clock::now(), TimePoint::max()};
+    }
+}
+
+void Checks::endRound()
+{
+    if (m_round) {
+        m_round->until = Clock::now();
+        m_plannedRounds.push_back(*m_round);
+        m_round.reset();
+    }
+}
+
+bool Checks::inPlannedRound(const Tests::CallOutcome &call) const
+{
+    const auto contains = [&](const PlannedRound &round) { return call.sentAt >= round.from && call.endedAt <= round.until; };
+    return std::any_of(m_plannedRounds.begin(), m_plannedRounds.end(), contains);
+}
+
+void Checks::checkCall(const Tests::CallOutcome &call)
+{
+    const auto runs = m_fleet.journal().runs(call.id);
+    const auto problem = [&](const std::string &what) {
+        m_problems.push_back(call.id + " " + call.path + " status " + std::to_string(call.status) + ", " + std::to_string(runs) + " runs: " + what);
+    };
+    if (call.path.rfind("/file/", 0) == 0 && runs > 1) {
+        problem("a non-idempotent request ran more than once");
+    }
+    if (call.refused() && runs != 0) {
+        problem("refused as not run, but it ran");
+    }
+    if (call.whole && call.status == 200 && (!call.own || runs == 0)) {
+        problem("the answer is not its own");
+    }
+    if (inPlannedRound(call) && !call.whole && runs != 0) {
+        problem("cut by a planned stop");
+    }
+    ++(call.whole && call.status == 200 ? m_answered : call.refused() ? m_refused : m_failed);
+}
+
+void Checks::checkServiceIsBack()
+{
+    const auto until = Clock::now() + RecoveryLimit;
+    for (std::size_t n = 0; n < m_fleet.size(); ++n) {
+        const auto &node = m_fleet.host(n).node();
+        for (const auto *path : Paths) {
+            const bool isFile = std::string(path).rfind("/file/", 0) == 0;
+            const auto served = [&] { return isServed(node.callerEndpoint(), isFile ? "/read/0" : path, "back"); };
+            if (!waitUntil(served, std::max(ProbeLimit, std::chrono::ceil<milliseconds>(until - Clock::now())))) {
+                m_problems.push_back(node.place().name + ": " + path + " is not served after the last fault");
+            }
+        }
+    }
+}
+
+std::vector<std::string> Checks::finish()
+{
+    if (!m_fleet.waitAllReady(RecoveryLimit)) {
+        m_problems.push_back("not all nodes are ready after the last fault");
+    }
+    checkServiceIsBack();
+    for (const auto &probe : m_probes) {
+        probe->stop();
+        m_problems.insert(m_problems.end(), probe->problems().begin(), probe->problems().end());
+    }
+    for (const auto &caller : m_callers) {
+        caller->stop();
+    }
+    std::this_thread::sleep_for(LateRunLimit);
+    for (const auto &caller : m_callers) {
+        for (const auto &call : caller->outcomes()) {
+            checkCall(call);
+        }
+    }
+    return m_problems;
+}
+
+std::string Checks::summary() const
+{
+    return std::to_string(m_answered) + " answered, " + std::to_string(m_refused) + " refused, " + std::to_string(m_failed) + " failed, "
+        + std::to_string(m_fleet.journal().total()) + " ran";
+}
+
+} // namespace Fescuenotch::Soak
--- /dev/null
+++ b/soak/faults.cpp
@@ -0,0 +1,174 @@
+#include "soak/faults.h"
+
+#include <csignal>
+#include <thread>
+
+namespace Fescuenotch::Soak {
+
+namespace {
+
+constexpr unsigned SeriesPerRound = 3;
+constexpr unsigned FaultsPerSeries = 3;
+constexpr milliseconds LongestGap{400}; ///< ms between two faults of a series
+constexpr milliseconds LongestFault{1'500}; ///< ms
+constexpr milliseconds LongestDelay{60}; ///< ms added each way by a proxy
+constexpr milliseconds LongestSignalGap{250}; ///< ms between further signals during a stop
+constexpr unsigned HangupsInARow = 20;
+
+unsigned draw(std::mt19937_64 &random, unsigned count)
+{
+    return static_cast<unsigned>(random() % count);
+}
+
+milliseconds drawTime(std::mt19937_64 &random, milliseconds longest)
+{
+    return milliseconds(draw(random, static_cast<unsigned>(longest.count())));
+}
+
+void sleepFor(milliseconds time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+} // namespace
+
+FaultRounds::FaultRounds(SoakFleet &fleet, std::uint64_t seed)
+    : m_fleet(fleet)
+    , m_seed(seed)
+{
+}
+
+const std::vector<std::string> &FaultRounds::problems() const
+{
+    return m_problems;
+}
+
+void FaultRounds::run(RoundKind kind)
+{
+    ++m_round;
+    std::vector<std::thread> series;
+    for (unsigned n = 0; n < SeriesPerRound; ++n) {
+        std::seed_seq seeds{m_seed, std::uint64_t{m_round}, std::uint64_t{n}};
+        series.emplace_back([this, kind, random = Random(seeds)] { runSeries(kind, random); });
+    }
+    for (auto &each : series) {
+        each.join();
+    }
+}
+
+void FaultRounds::runSeries(RoundKind kind, Random random)
+{
+    for (unsigned n = 0; n < FaultsPerSeries; ++n) {
+        sleepFor(drawTime(random, LongestGap));
+        auto &host = m_fleet.host(draw(random, static_cast<unsigned>(m_fleet.size())));
+        const bool rough = kind == RoundKind::Rough && draw(random, 3) != 0;
+        rough ? injectRough(host, random) : injectPlanned(host, random);
+    }
+}
+
+// ---- [planned] --------------------------------------------------------------------------------------------------
+
+void FaultRounds::injectPlanned(SoakHost &host, Random &random)
+{
+    switch (draw(random, 5)) {
+    case 0:
+        m_fleet.publish();
+        return;
+    case 1:
+        for (unsigned n = 0; n < HangupsInARow; ++n) {
+            host.signal(SIGHUP);
+            sleepFor(milliseconds(draw(random, 10)));
+        }
+        return;
+    case 2:
+        faultStore(random);
+        return;
+    default:
+        stopAndStart(host, random, draw(random, 2) == 0, true);
+    }
+}
+
+void FaultRounds::stopAndStart(SoakHost &host, Random &random, bool furtherSignals, bool mustBeClean)
+{
+    if (!host.take()) {
+        return;
+    }
+    host.signal(SIGTERM);
+    for (unsigned n = furtherSignals ? 3 : 0; n > 0; --n) {
+        sleepFor(drawTime(random, LongestSignalGap));
+        constexpr std::array<int, 3> Further{SIGHUP, SIGTERM, SIGINT};
+        host.signal(Further[draw(random, Further.size())]);
+    }
+    const bool ended = host.waitForEnd(host.node().place().stopLimit);
+    if (mustBeClean && (!ended || host.exitCode() != 0)) {
+        const std::lock_guard lock(m_mutex);
+        m_problems.push_back(host.node().place().name
+                             + (ended ? ": a stop ended with status " + std::to_string(host.exitCode()) : ": a stop did not end in time"));
+    }
+    host.restart();
+    host.release();
+}
+
+void FaultRounds::faultStore(Random &random)
+{
+    constexpr std::array<Tests::StoreFault, 3> Kinds{Tests::StoreFault::Busy, Tests::StoreFault::Limited, Tests::StoreFault::Lost};
+    m_fleet.store().fault(Kinds[draw(random, Kinds.size())]);
+    sleepFor(drawTime(random, LongestFault));
+    m_fleet.store().fault(Tests::StoreFault::None);
+    if (draw(random, 2) == 0) {
+        m_fleet.store().forgetHistory();
+    }
+}
+
+// ---- [rough] ----------------------------------------------------------------------------------------------------
+
+void FaultRounds::injectRough(SoakHost &host, Random &random)
+{
+    switch (draw(random, 5)) {
+    case 0:
+        if (host.take()) {
+            host.restart(); // by SIGKILL
+            host.release();
+        }
+        return;
+    case 1:
+        if (host.take()) {
+            host.signal(SIGSTOP);
+            sleepFor(drawTime(random, LongestFault));
+            host.signal(SIGCONT);
+            host.release();
+        }
+        return;
+    case 2:
+        faultLink(host.storeLink(), random);
+        return;
+    default:
+        faultLink(host.peerLink(), random);
+    }
+}
+
+void FaultRounds::faultLink(Standins::Link &link, Random &random)
+{
+    Standins::LinkFaults faults;
+    switch (draw(random, 5)) {
+    case 0:
+        faults.cut = true;
+        break;
+    case 1:
+        faults.silent = true;
+        break;
+    case 2:
+        faults.silentBack = true;
+        break;
+    case 3:
+        faults.delay = drawTime(random, LongestDelay);
+        break;
+    default:
+        link.silenceOpen();
+    }
+    link.setFaults(faults);
+    sleepFor(drawTime(random, LongestFault));
+    link.setFaults({});
+}
+
+} // namespace Fescuenotch::Soak
--- a/standins/link.cpp
+++ b/standins/link.cpp
@@ -179,7 +179,8 @@
         std::array<pollfd, 2> entries{};
         bool holding = false;
         for (std::size_t n = 0; n < 2; ++n) {
-            const bool reads = !ways[n].ended && ways[n].heldBytes < MaxHeld;
+            const bool held = n == 1 && now.silentBack;
+            const bool reads = !held && !ways[n].ended && ways[n].heldBytes < MaxHeld;
             entries[n] = {reads ? ways[n].from : -1, POLLIN, 0};
             holding = holding || !ways[n].held.empty();
         }
--- a/standins/link.h
+++ b/standins/link.h
@@ -19,6 +19,7 @@
 struct LinkFaults {
     bool cut = false;
     bool silent = false; ///< all connections, until it is taken back
+    bool silentBack = false; ///< as silent, but only from `to` to the side that connected
     milliseconds delay{0}; ///< ms; each way
     bool operator==(const LinkFaults &) const = default;
 };
--- a/tests/support/nodeprocess.cpp
+++ b/tests/support/nodeprocess.cpp
@@ -275,6 +275,9 @@
         if (!call.whole || answer.find("Connection: close") != std::string::npos) {
             return;
         }
+        if (call.status != 200) {
+            std::this_thread::sleep_for(ReconnectDelay);
+        }
     }
 }
 
