--- a/standins/link.h
+++ b/standins/link.h
@@ -19,8 +19,8 @@
 struct LinkFaults {
     bool cut = false;
     bool silent = false; ///< all connections, until it is taken back
-    bool silentBack = false; ///< as silent, but only from `to` to the side that connected
     milliseconds delay{0}; ///< ms; each way
+    bool silentBack = false; ///< as silent, but only from `to` to the side that connected
     bool operator==(const LinkFaults &) const = default;
 };
 
