Targets: entries written again do not count as changes of the list; addresses of the signal tests by process

Cause: with the sequence in the record each rewrite of an entry raised the generation, so that candidates and links were chosen anew; test apply_onlyTheSequenceIsNew_generationStays. The signal tests used fixed addresses: two runs on one machine took each other's, seen as stop_once_endsWithStatusZeroAndLastLine not getting ready while another clone ran them (twice; alone it passed three times).

--- a/src/mesh/targets.cpp
+++ b/src/mesh/targets.cpp
@@ -106,12 +106,16 @@
     const bool wasReady = !entry.record || entry.record->state == TargetState::Ready;
     const bool drainsNow = update.record->state == TargetState::Draining && wasReady;
     const auto kind = drainsNow ? TargetChange::Kind::Draining : entry.record ? TargetChange::Kind::Changed : TargetChange::Kind::Added;
+    auto sameSequence = entry.record;
+    if (sameSequence) {
+        sameSequence->sequence = update.record->sequence;
+    }
+    m_generation += sameSequence == update.record ? 0 : 1; // users of the list do not read the sequence
     entry.record = update.record;
     entry.position = position;
     entry.changedAt = now;
     entry.outdatedBefore = statementOf(*update.record);
     entry.statedInEra = update.statedInEra.value_or(update.position.era);
-    ++m_generation;
     return {kind, *update.record};
 }
 
--- a/tests/commands/signals_test.cpp
+++ b/tests/commands/signals_test.cpp
@@ -19,11 +19,12 @@
 constexpr milliseconds StartLimit{10'000}; ///< ms
 constexpr milliseconds StopLimit{4'000}; ///< ms; the platform's time from SIGTERM to SIGKILL
 
-/// Each fixture uses another address, so that sockets left over from the previous one cannot interfere.
+/// Each fixture uses another address, so that sockets left over from the previous one cannot interfere, nor can another run of
+/// these tests on the same machine.
 std::string nextAddress()
 {
     static unsigned host = 0;
-    return "127.22.1." + std::to_string(++host);
+    return "127.22." + std::to_string(::getpid() % 250 + 1) + "." + std::to_string(++host);
 }
 
 class SignalsFixture
--- a/tests/mesh/targets_test.cpp
+++ b/tests/mesh/targets_test.cpp
@@ -66,6 +66,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(TargetTableTest, TableFixture)
 
+/// Targets write their entries again and again: users of the list must not rebuild what they derive from it each time.
+BOOST_AUTO_TEST_CASE(apply_onlyTheSequenceIsNew_generationStays)
+{
+    table.apply(now, listed("a", 5), notDeferred);
+    const auto before = table.generation();
+    auto again = listed("a", 6);
+    ++again.record->sequence;
+    BOOST_TEST(!table.apply(now, again, notDeferred).has_value());
+    BOOST_TEST(table.generation() == before);
+    BOOST_TEST(table.find("a")->sequence == again.record->sequence);
+}
+
 BOOST_AUTO_TEST_CASE(apply_olderRevisionAfterNewer_isIgnored)
 {
     table.apply(now, listed("a", 5), notDeferred);
