--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -843,6 +843,41 @@
     BOOST_TEST(target(1).requests().size() == 1U);
 }
 
+/// Guards against answers that an exit node breaks off in the middle when it stops: its link cannot carry all of them in time. Those of
+/// which nothing was sent come from another target instead.
+BOOST_AUTO_TEST_CASE(stop_exitNodeCannotSendAllAnswers_theOthersComeFromAnotherTarget)
+{
+    constexpr std::size_t AnswerBytes = 150'000; // 1.3 s of the slow link each
+    addNode("desk");
+    linkMbps = 1;
+    addNode("feed");
+    const auto answerWith = [this, AnswerBytes](std::size_t n) {
+        target(n).setBehaviour([this, n, AnswerBytes](const Standins::ServerCall &call) { return target(n).validReply(call, std::string(AnswerBytes, 'x')); });
+    };
+    answerWith(1);
+    publish(1, "desk", seconds(10));
+    waitReady();
+    std::vector<std::string> answers(3);
+    std::vector<std::thread> callers;
+    for (auto &answer : answers) {
+        callers.emplace_back([&] { answer = get(0, "/feed/list"); });
+    }
+    BOOST_REQUIRE(waitUntil([&] { return target(1).requests().size() == answers.size(); }));
+    linkMbps = 1'000;
+    addNode("feed");
+    answerWith(2);
+    waitReady();
+    node(1).beginStop();
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    for (const auto &answer : answers) {
+        BOOST_TEST(contains(answer, "200 OK"));
+        BOOST_TEST(isComplete(answer), "got " << answer.size() << " bytes");
+    }
+    BOOST_TEST(target(2).requests().size() >= 1U);
+}
+
 /// The target is still at work when the node must end: the caller gets a complete answer that says so, not a closed connection.
 BOOST_AUTO_TEST_CASE(stop_targetOutlastsTheNode_callerGetsCompleteAnswer)
 {
