--- a/src/mesh/answerorder.cpp
+++ b/src/mesh/answerorder.cpp
@@ -64,7 +64,7 @@
         return std::nullopt;
     }
     auto toStopping = indicesByDeadline(answers);
-    std::erase_if(toStopping, [&](std::size_t n) { return !answers[n].receiverStops; });
+    std::erase_if(toStopping, [&](std::size_t n) { return !answers[n].deadlineIsNodeEnd; });
     const auto urgent = selectInTime(now, answers, toStopping, link);
     if (!urgent.empty() && leastSlack(now, answers, urgent, link) < MinAnswerSlack) {
         return urgent.front();
--- a/src/mesh/answerorder.h
+++ b/src/mesh/answerorder.h
@@ -21,7 +21,7 @@
 struct PendingAnswer {
     std::size_t remaining = 0; ///< bytes
     TimePoint deadline; ///< an answer that is completely sent after this is useless
-    bool receiverStops = false; ///< the deadline is the end of the node that waits for the answer, or of this one
+    bool deadlineIsNodeEnd = false; ///< the deadline is the end of the node that waits for the answer, or of this one
 };
 
 constexpr milliseconds MinAnswerSlack{400}; ///< ms; answers to stopping nodes go first if they would otherwise have less than this to spare
--- a/tests/mesh/answerorder_test.cpp
+++ b/tests/mesh/answerorder_test.cpp
@@ -17,9 +17,9 @@
     UplinkPacer link{8};
     std::vector<PendingAnswer> answers;
 
-    void add(std::size_t kilobytes, milliseconds timeLeft, bool receiverStops = false)
+    void add(std::size_t kilobytes, milliseconds timeLeft, bool deadlineIsNodeEnd = false)
     {
-        answers.push_back({kilobytes * Kilobyte, Start + timeLeft, receiverStops});
+        answers.push_back({kilobytes * Kilobyte, Start + timeLeft, deadlineIsNodeEnd});
     }
 
     /// Sends all answers piece by piece; returns how many were completely sent by their deadlines.
