--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -851,14 +851,15 @@
     addNode("desk");
     linkMbps = 1;
     addNode("feed");
-    const auto answerWith = [this, AnswerBytes](std::size_t n) {
-        target(n).setBehaviour([this, n, AnswerBytes](const Standins::ServerCall &call) { return target(n).validReply(call, std::string(AnswerBytes, 'x')); });
+    const auto answerWith = [this](std::size_t n) {
+        target(n).setBehaviour([this, n](const Standins::ServerCall &call) { return target(n).validReply(call, std::string(AnswerBytes, 'x')); });
     };
     answerWith(1);
     publish(1, "desk", seconds(10));
     waitReady();
     std::vector<std::string> answers(3);
     std::vector<std::thread> callers;
+    callers.reserve(answers.size());
     for (auto &answer : answers) {
         callers.emplace_back([&] { answer = get(0, "/feed/list"); });
     }
--- a/tests/mesh/answerorder_test.cpp
+++ b/tests/mesh/answerorder_test.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::size_t Kilobyte = 1'000;
 constexpr std::size_t Piece = 16 * 1024;
-const TimePoint Start{seconds(1'000)};
+constexpr TimePoint Start{seconds(1'000)};
 
 /// A link of 8 Mbit/s of which nine tenths are used: 0.9 MB/s.
 struct LinkFixture {
--- a/tests/mesh/stopschedule_test.cpp
+++ b/tests/mesh/stopschedule_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-const TimePoint Begin{seconds(1'000)};
+constexpr TimePoint Begin{seconds(1'000)};
 
 struct ScheduleFixture {
     StopScheduleSettings settings;
