--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -527,7 +527,7 @@
 
         std::unique_ptr<ForwardStream> stream;
         TimePoint deadline; ///< the entry node gives up at this time
-        bool entryStops = false;
+        bool entryStops = false; ///< the entry node is stopping: `deadline` is not later than its end
         std::optional<ForwardAnswer> head; ///< not sent yet
         std::string pendingAnswer; ///< answer bytes not sent yet
         bool isLarge = false; ///< paced, together with the other large answers, to the bandwidth of the host's link
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -15,7 +15,7 @@
 //
 // Pitfall: many answers share a link, so their bodies are sent in pieces. Answers up to `MaxSmallResponseBytes` are sent at
 // once; larger ones share the bandwidth of the host's link in the order of mesh/answerorder.h. So a large answer is delayed while
-// shorter ones are pending, as far as its deadline allows.
+// shorter ones are pending; only answers to stopping nodes, and those of a stopping node, have a bound on that delay.
 #pragma once
 
 #include "forward/linkcodec.h"
--- a/tests/commands/signals_test.cpp
+++ b/tests/commands/signals_test.cpp
@@ -27,6 +27,14 @@
     return "127.22." + std::to_string(::getpid() % 250 + 1) + "." + std::to_string(++host);
 }
 
+/// Opens a named pipe for writing once another process reads from it; -1 when none does in time.
+int openWhenRead(const std::string &path)
+{
+    int fd = -1;
+    waitUntil([&] { return (fd = ::open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0; }, StartLimit);
+    return fd;
+}
+
 class SignalsFixture
 {
 public:
@@ -46,6 +54,22 @@
         BOOST_REQUIRE(node.waitReady(StartLimit));
     }
 
+    /// Sends a signal while the starting node reads its settings.
+    void startAndSignalWhileSettingsAreRead(int number)
+    {
+        // The settings are a named pipe at first, so that the start waits for this test.
+        const auto text = node.settingsText("desk");
+        std::filesystem::remove(node.settingsPath());
+        BOOST_REQUIRE(::mkfifo(node.settingsPath().c_str(), 0600) == 0);
+        node.start();
+        const int fd = openWhenRead(node.settingsPath());
+        BOOST_REQUIRE(fd >= 0);
+        node.process().signal(number);
+        node.writeSettings(text);
+        BOOST_TEST(::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+        ::close(fd);
+    }
+
     void startCallers(unsigned count, const std::string &path)
     {
         for (unsigned n = 0; n < count; ++n) {
@@ -117,14 +141,6 @@
     BOOST_TEST(threadsThatTakeSignals(pid) == expected, boost::test_tools::per_element());
 }
 
-/// Opens a named pipe for writing once another process reads from it; -1 when none does in time.
-int openWhenRead(const std::string &path)
-{
-    int fd = -1;
-    waitUntil([&] { return (fd = ::open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0; }, StartLimit);
-    return fd;
-}
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(NodeSignalsTest, SignalsFixture)
@@ -184,17 +200,7 @@
 // A SIGHUP during the start ended the process.
 BOOST_AUTO_TEST_CASE(start_hangupWhileSettingsAreRead_isHandledOnceStarted)
 {
-    // The settings are a named pipe at first, so that the start waits for this test.
-    const auto text = node.settingsText("desk");
-    std::filesystem::remove(node.settingsPath());
-    BOOST_REQUIRE(::mkfifo(node.settingsPath().c_str(), 0600) == 0);
-    node.start();
-    const int fd = openWhenRead(node.settingsPath());
-    BOOST_REQUIRE(fd >= 0);
-    node.process().signal(SIGHUP);
-    node.writeSettings(text);
-    BOOST_TEST(::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
-    ::close(fd);
+    startAndSignalWhileSettingsAreRead(SIGHUP);
     BOOST_REQUIRE(node.waitReady(StartLimit));
     BOOST_TEST(node.process().waitForText("event=settings_unchanged", seconds(2)));
 }
@@ -211,16 +217,7 @@
 // A SIGTERM during the start ended the process without a line.
 BOOST_AUTO_TEST_CASE(start_termWhileSettingsAreRead_stopsOnceStarted)
 {
-    const auto text = node.settingsText("desk");
-    std::filesystem::remove(node.settingsPath());
-    BOOST_REQUIRE(::mkfifo(node.settingsPath().c_str(), 0600) == 0);
-    node.start();
-    const int fd = openWhenRead(node.settingsPath());
-    BOOST_REQUIRE(fd >= 0);
-    node.process().signal(SIGTERM);
-    node.writeSettings(text);
-    BOOST_TEST(::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
-    ::close(fd);
+    startAndSignalWhileSettingsAreRead(SIGTERM);
     BOOST_TEST(node.process().waitForEnd(StartLimit));
     BOOST_TEST(node.process().exitCode() == 0);
     BOOST_TEST(node.lastLogLine().find("event=node_left") != std::string::npos, node.lastLogLine());
