--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -666,6 +666,27 @@
             {"head in drops", "HTTP/1.1 200 OK\r\nX: ", "x", milliseconds(100)}};
 }
 
+/// Guards against a repeat by the node that ends a target although the same request has ended others.
+BOOST_AUTO_TEST_CASE(request_crashedTwoTargetsBefore_isNotRepeatedByTheNode)
+{
+    std::atomic<unsigned> crashes{0};
+    for (std::size_t n = 0; n < 5; ++n) {
+        addCrashingNode("desk", "/read/bad", seconds(20), [&] { ++crashes; });
+    }
+    publish(1);
+    waitReady();
+    for (unsigned n = 0; n < 100; ++n) { // fills the retry budget
+        BOOST_REQUIRE(contains(get(0, "/read/x"), "200 OK"));
+    }
+    get(0, "/read/bad");
+    BOOST_TEST(crashes == 2U); // a first crash is repeated: the request may be a bystander
+    std::this_thread::sleep_for(milliseconds(300));
+    const auto answer = get(0, "/read/bad");
+    BOOST_TEST(crashes == 3U);
+    BOOST_TEST(contains(answer, "502"));
+    BOOST_TEST(contains(answer, "Fescuenotch-Outcome: unknown"));
+}
+
 /// Guards against a false "not run": the request was sent on a connection that had been idle, its target ended, and the connection for
 /// sending it again failed.
 BOOST_AUTO_TEST_CASE(request_crashesTargetOnAnIdleConnection_isNotSaidToBeNotRun)
--- a/tests/mesh/crashsuspects_test.cpp
+++ b/tests/mesh/crashsuspects_test.cpp
@@ -262,6 +262,8 @@
         crash({n});
     }
     BOOST_TEST(suspects.toTell(now, true).crashes.size() <= CrashSuspectsSettings().maxRecords);
+    BOOST_TEST(suspects.crashesOf(100) == 0U); // the oldest were dropped
+    BOOST_TEST(suspects.crashesOf(10'099) == 1U);
     crash({Bad});
     crash({Bad});
     crash({Bad});
