Interfaces: cold rates of services, evacuation bound, wire fields for both

Change: services carry cold_start and cold_per_s, settings the bounds evacuate, cold_overrun and cold_slack, heartbeats and state news fields for evacuations; two reasons of refusal. Nothing uses them yet. Result: test_platform and StateCodecTest, LinkCodecTest pass; the new checks of test_platform failed before the fields were read.

--- a/src/adapter/adapter.h
+++ b/src/adapter/adapter.h
@@ -46,6 +46,9 @@
     double retryShare = 0.2; ///< retries per request, over all nodes
     double retrySlack = 64; ///< additional retries allowed per window, over all nodes
     milliseconds retryWindow{10'000}; ///< ms
+    std::optional<milliseconds> evacuationLimit; ///< ms; an evacuated data centre gets no requests after this; none: evacuations are not read
+    double coldOverrun = 1.5; ///< multiple of a cold target's request rate that may reach it in one second
+    double coldSlack = 0; ///< requests that may reach a cold target in one second beyond that
     double cpuShare = 1; ///< CPU cores
     double linkMbps = 1'000; ///< Mbit/s; speed of this host's link
     std::uint64_t memoryBytes = 0; ///< bytes; 0: unlimited
@@ -62,6 +65,8 @@
     std::string signature; ///< present on every response made by a target
     std::string targetLeaving; ///< in every answer of a target that is about to end
     std::string targetLeavingValue; ///< value of that header; any other says nothing
+    std::string healthTargetId; ///< in health answers: id of the target that answers
+    std::string coldRemaining; ///< in health answers: ms for which the target stays cold
     std::string requestRate; ///< rate limit that an overloaded target states: requests per second from all hosts together
 };
 
--- a/src/forward/statecodec.cpp
+++ b/src/forward/statecodec.cpp
@@ -6,6 +6,7 @@
 #include <zlib.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -16,6 +17,7 @@
 constexpr std::size_t MaxConfigurationBytes = 64 * 1024 * 1024; ///< bytes before compression; a frame that states more is rejected before memory is allocated
 constexpr std::size_t InitialBuilderBytes = 64 * 1024;
 constexpr int FastCompression = 1; ///< zlib level; the fastest, since a host has a tenth of a CPU core
+constexpr double Permille = 1'000; ///< of the wire's request rates
 constexpr flatbuffers::uoffset_t MaxTables = 1'000'000;
 constexpr flatbuffers::uoffset_t MaxDepth = 8;
 
@@ -130,7 +132,12 @@
     for (const auto &service : configuration.services) {
         const auto name = fbb.CreateString(service.name);
         const auto path = fbb.CreateString(service.healthPath);
-        services.push_back(MeshWire::CreateServiceRecord(fbb, name, path, service.maxConnections));
+        services.push_back(MeshWire::CreateServiceRecord(fbb,
+                                                         name,
+                                                         path,
+                                                         service.maxConnections,
+                                                         static_cast<std::uint32_t>(service.coldStart.count()),
+                                                         static_cast<std::uint32_t>(std::lround(service.coldRequestRate * Permille))));
     }
     const auto routeList = fbb.CreateVector(routes);
     const auto removedList = fbb.CreateVectorOfStrings(removed);
@@ -182,7 +189,11 @@
     }
     if (record->services() != nullptr) {
         for (const auto *service : *record->services()) {
-            configuration.services.push_back({service->name()->str(), stringOrEmpty(service->health_path()), service->max_connections()});
+            configuration.services.push_back({service->name()->str(),
+                                              stringOrEmpty(service->health_path()),
+                                              service->max_connections(),
+                                              milliseconds(service->cold_start_ms()),
+                                              service->cold_rate_milli() / Permille});
         }
     }
     if (const auto *limits = record->bounds()) {
--- a/src/mesh/routes.h
+++ b/src/mesh/routes.h
@@ -46,6 +46,8 @@
     std::string name;
     std::string healthPath; ///< empty: none
     unsigned maxConnections = 0; ///< from all nodes to one target; 0: not stated
+    milliseconds coldStart{0}; ///< ms; a target is cold for this long after it starts
+    double coldRequestRate = 0; ///< requests per second that a cold target accepts from all nodes; 0: not limited
     bool operator==(const MeshService &) const = default;
 };
 
--- a/src/request/types.cpp
+++ b/src/request/types.cpp
@@ -36,6 +36,8 @@
     ReasonText{Reason::WrongHost, "wrong-host", "retry; if it lasts, check the host of the target in the service document"},
     ReasonText{Reason::TargetLimit, "target-limit", "retry after the time in Retry-After; the target limits the requests that it takes"},
     ReasonText{Reason::Quarantined, "quarantined", "do not send it again; targets that ran the same request ended"},
+    ReasonText{Reason::Evacuated, "evacuated", "retry after the time in Retry-After; delete the evacuation of a data centre that has targets of the service"},
+    ReasonText{Reason::TargetCold, "target-cold", "retry after the time in Retry-After; the target has just started and takes few requests"},
 };
 
 constexpr bool matchesEnumOrder()
--- a/src/request/types.h
+++ b/src/request/types.h
@@ -44,6 +44,8 @@
     WrongHost, ///< the target does not run on the host of this exit node
     TargetLimit, ///< the target accepts only so many requests a second
     Quarantined, ///< requests like this one have crashed the targets that ran them
+    Evacuated, ///< the data centre of the targets is evacuated
+    TargetCold, ///< the target is cold and takes only so many requests a second
 };
 const char *reasonName(Reason reason); ///< "no-profile", "queue-full", ...
 const char *reasonRemedy(Reason reason); ///< one sentence of advice for the caller
--- a/src/wire/mesh_generated.h
+++ b/src/wire/mesh_generated.h
@@ -80,6 +80,9 @@
 struct TargetNewsRecord;
 struct TargetNewsRecordBuilder;
 
+struct EvacuationRecord;
+struct EvacuationRecordBuilder;
+
 struct StateNews;
 struct StateNewsBuilder;
 
@@ -702,7 +705,8 @@
     VT_STORE_ERA = 20,
     VT_LIFETIMES_DIGEST = 22,
     VT_CRASHES = 24,
-    VT_CLEARANCES = 26
+    VT_CLEARANCES = 26,
+    VT_EVACUATIONS_DIGEST = 28
   };
   int64_t sent_at() const {
     return GetField<int64_t>(VT_SENT_AT, 0);
@@ -740,6 +744,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::ClearanceRecord>> *clearances() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::ClearanceRecord>> *>(VT_CLEARANCES);
   }
+  uint64_t evacuations_digest() const {
+    return GetField<uint64_t>(VT_EVACUATIONS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
@@ -760,6 +767,7 @@
            VerifyOffset(verifier, VT_CLEARANCES) &&
            verifier.VerifyVector(clearances()) &&
            verifier.VerifyVectorOfTables(clearances()) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATIONS_DIGEST, 8) &&
            verifier.EndTable();
   }
 };
@@ -804,6 +812,9 @@
   void add_clearances(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::ClearanceRecord>>> clearances) {
     fbb_.AddOffset(Pulse::VT_CLEARANCES, clearances);
   }
+  void add_evacuations_digest(uint64_t evacuations_digest) {
+    fbb_.AddElement<uint64_t>(Pulse::VT_EVACUATIONS_DIGEST, evacuations_digest, 0);
+  }
   explicit PulseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -828,8 +839,10 @@
     uint64_t store_era = 0,
     uint64_t lifetimes_digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::CrashRecord>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::ClearanceRecord>>> clearances = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::ClearanceRecord>>> clearances = 0,
+    uint64_t evacuations_digest = 0) {
   PulseBuilder builder_(_fbb);
+  builder_.add_evacuations_digest(evacuations_digest);
   builder_.add_lifetimes_digest(lifetimes_digest);
   builder_.add_store_era(store_era);
   builder_.add_targets_digest(targets_digest);
@@ -858,7 +871,8 @@
     uint64_t store_era = 0,
     uint64_t lifetimes_digest = 0,
     const std::vector<flatbuffers::Offset<Fescuenotch::MeshWire::CrashRecord>> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<Fescuenotch::MeshWire::ClearanceRecord>> *clearances = nullptr) {
+    const std::vector<flatbuffers::Offset<Fescuenotch::MeshWire::ClearanceRecord>> *clearances = nullptr,
+    uint64_t evacuations_digest = 0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<Fescuenotch::MeshWire::CrashRecord>>(*crashes) : 0;
   auto clearances__ = clearances ? _fbb.CreateVector<flatbuffers::Offset<Fescuenotch::MeshWire::ClearanceRecord>>(*clearances) : 0;
@@ -875,7 +889,8 @@
       store_era,
       lifetimes_digest,
       crashes__,
-      clearances__);
+      clearances__,
+      evacuations_digest);
 }
 
 struct Beat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1938,7 +1953,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NAME = 4,
     VT_HEALTH_PATH = 6,
-    VT_MAX_CONNECTIONS = 8
+    VT_MAX_CONNECTIONS = 8,
+    VT_COLD_START_MS = 10,
+    VT_COLD_RATE_MILLI = 12
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -1949,6 +1966,12 @@
   uint32_t max_connections() const {
     return GetField<uint32_t>(VT_MAX_CONNECTIONS, 0);
   }
+  uint32_t cold_start_ms() const {
+    return GetField<uint32_t>(VT_COLD_START_MS, 0);
+  }
+  uint32_t cold_rate_milli() const {
+    return GetField<uint32_t>(VT_COLD_RATE_MILLI, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NAME) &&
@@ -1956,6 +1979,8 @@
            VerifyOffset(verifier, VT_HEALTH_PATH) &&
            verifier.VerifyString(health_path()) &&
            VerifyField<uint32_t>(verifier, VT_MAX_CONNECTIONS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_START_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_COLD_RATE_MILLI, 4) &&
            verifier.EndTable();
   }
 };
@@ -1973,6 +1998,12 @@
   void add_max_connections(uint32_t max_connections) {
     fbb_.AddElement<uint32_t>(ServiceRecord::VT_MAX_CONNECTIONS, max_connections, 0);
   }
+  void add_cold_start_ms(uint32_t cold_start_ms) {
+    fbb_.AddElement<uint32_t>(ServiceRecord::VT_COLD_START_MS, cold_start_ms, 0);
+  }
+  void add_cold_rate_milli(uint32_t cold_rate_milli) {
+    fbb_.AddElement<uint32_t>(ServiceRecord::VT_COLD_RATE_MILLI, cold_rate_milli, 0);
+  }
   explicit ServiceRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1989,8 +2020,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> name = 0,
     flatbuffers::Offset<flatbuffers::String> health_path = 0,
-    uint32_t max_connections = 0) {
+    uint32_t max_connections = 0,
+    uint32_t cold_start_ms = 0,
+    uint32_t cold_rate_milli = 0) {
   ServiceRecordBuilder builder_(_fbb);
+  builder_.add_cold_rate_milli(cold_rate_milli);
+  builder_.add_cold_start_ms(cold_start_ms);
   builder_.add_max_connections(max_connections);
   builder_.add_health_path(health_path);
   builder_.add_name(name);
@@ -2001,14 +2036,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *name = nullptr,
     const char *health_path = nullptr,
-    uint32_t max_connections = 0) {
+    uint32_t max_connections = 0,
+    uint32_t cold_start_ms = 0,
+    uint32_t cold_rate_milli = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto health_path__ = health_path ? _fbb.CreateString(health_path) : 0;
   return Fescuenotch::MeshWire::CreateServiceRecord(
       _fbb,
       name__,
       health_path__,
-      max_connections);
+      max_connections,
+      cold_start_ms,
+      cold_rate_milli);
 }
 
 struct BoundsRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2427,6 +2466,94 @@
       remove_in_ms);
 }
 
+struct EvacuationRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationRecordBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATA_CENTRE = 4,
+    VT_ERA = 6,
+    VT_REVISION = 8,
+    VT_EVACUATED = 10
+  };
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool evacuated() const {
+    return GetField<uint8_t>(VT_EVACUATED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_EVACUATED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct EvacuationRecordBuilder {
+  typedef EvacuationRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(EvacuationRecord::VT_DATA_CENTRE, data_centre);
+  }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(EvacuationRecord::VT_ERA, era, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(EvacuationRecord::VT_REVISION, revision, 0);
+  }
+  void add_evacuated(bool evacuated) {
+    fbb_.AddElement<uint8_t>(EvacuationRecord::VT_EVACUATED, static_cast<uint8_t>(evacuated), 0);
+  }
+  explicit EvacuationRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EvacuationRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EvacuationRecord>(end);
+    fbb_.Required(o, EvacuationRecord::VT_DATA_CENTRE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EvacuationRecord> CreateEvacuationRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    uint64_t era = 0,
+    uint64_t revision = 0,
+    bool evacuated = false) {
+  EvacuationRecordBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_era(era);
+  builder_.add_data_centre(data_centre);
+  builder_.add_evacuated(evacuated);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EvacuationRecord> CreateEvacuationRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *data_centre = nullptr,
+    uint64_t era = 0,
+    uint64_t revision = 0,
+    bool evacuated = false) {
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  return Fescuenotch::MeshWire::CreateEvacuationRecord(
+      _fbb,
+      data_centre__,
+      era,
+      revision,
+      evacuated);
+}
+
 struct StateNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StateNewsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2435,7 +2562,9 @@
     VT_TARGETS = 8,
     VT_STORE_REVISION = 10,
     VT_ALL_TARGETS = 12,
-    VT_STORE_ERA = 14
+    VT_STORE_ERA = 14,
+    VT_EVACUATIONS = 16,
+    VT_HAS_EVACUATIONS = 18
   };
   const flatbuffers::Vector<uint8_t> *configuration() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CONFIGURATION);
@@ -2455,6 +2584,12 @@
   uint64_t store_era() const {
     return GetField<uint64_t>(VT_STORE_ERA, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::EvacuationRecord>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::EvacuationRecord>> *>(VT_EVACUATIONS);
+  }
+  bool has_evacuations() const {
+    return GetField<uint8_t>(VT_HAS_EVACUATIONS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIGURATION) &&
@@ -2466,6 +2601,10 @@
            VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_ALL_TARGETS, 1) &&
            VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfTables(evacuations()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_EVACUATIONS, 1) &&
            verifier.EndTable();
   }
 };
@@ -2492,6 +2631,12 @@
   void add_store_era(uint64_t store_era) {
     fbb_.AddElement<uint64_t>(StateNews::VT_STORE_ERA, store_era, 0);
   }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::EvacuationRecord>>> evacuations) {
+    fbb_.AddOffset(StateNews::VT_EVACUATIONS, evacuations);
+  }
+  void add_has_evacuations(bool has_evacuations) {
+    fbb_.AddElement<uint8_t>(StateNews::VT_HAS_EVACUATIONS, static_cast<uint8_t>(has_evacuations), 0);
+  }
   explicit StateNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2510,13 +2655,17 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::TargetNewsRecord>>> targets = 0,
     uint64_t store_revision = 0,
     bool all_targets = false,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fescuenotch::MeshWire::EvacuationRecord>>> evacuations = 0,
+    bool has_evacuations = false) {
   StateNewsBuilder builder_(_fbb);
   builder_.add_store_era(store_era);
   builder_.add_store_revision(store_revision);
+  builder_.add_evacuations(evacuations);
   builder_.add_targets(targets);
   builder_.add_configuration_size(configuration_size);
   builder_.add_configuration(configuration);
+  builder_.add_has_evacuations(has_evacuations);
   builder_.add_all_targets(all_targets);
   return builder_.Finish();
 }
@@ -2528,9 +2677,12 @@
     const std::vector<flatbuffers::Offset<Fescuenotch::MeshWire::TargetNewsRecord>> *targets = nullptr,
     uint64_t store_revision = 0,
     bool all_targets = false,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    const std::vector<flatbuffers::Offset<Fescuenotch::MeshWire::EvacuationRecord>> *evacuations = nullptr,
+    bool has_evacuations = false) {
   auto configuration__ = configuration ? _fbb.CreateVector<uint8_t>(*configuration) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<Fescuenotch::MeshWire::TargetNewsRecord>>(*targets) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<Fescuenotch::MeshWire::EvacuationRecord>>(*evacuations) : 0;
   return Fescuenotch::MeshWire::CreateStateNews(
       _fbb,
       configuration__,
@@ -2538,7 +2690,9 @@
       targets__,
       store_revision,
       all_targets,
-      store_era);
+      store_era,
+      evacuations__,
+      has_evacuations);
 }
 
 struct StateRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/forward/statecodec_test.cpp
+++ b/tests/forward/statecodec_test.cpp
@@ -28,7 +28,7 @@
     for (std::size_t n = 0; n < routes; ++n) {
         c.routes.push_back(route("r" + std::to_string(1'000 + n)));
     }
-    c.services = {{"desk", "/health", 130}, {"feed", "", 0}};
+    c.services = {{"desk", "/health", 130, seconds(3), 11.5}, {"feed", "", 0}};
     c.callerLimits.maxHeadBytes = 16'384;
     return c;
 }
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -13,7 +13,7 @@
 constexpr const char *Configuration = R"({"version":"0000000c","routes":[
  {"name":"a","host":"Desk.example","prefix":"/a/","route_type":"non_idempotent","timeout":"1200ms","latency_goal":"0.6s","priority":1,"service":"desk","max_attempts":2,"later":1},
  {"name":"b","host":"desk.example","prefix":"/b/","route_type":"idempotent","timeout":"1s","traffic_split":[{"service":"desk","weight":90},{"service":"feed","weight":10}],"max_attempts":2}],
- "services":[{"name":"desk","health_path":"/health","max_connections":130,"protocol":"h1","tls":false},{"name":"feed"}],
+ "services":[{"name":"desk","health_path":"/health","max_connections":130,"protocol":"h1","tls":false,"cold_start":"3s","cold_per_s":18.0},{"name":"feed"}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}})";
 
 constexpr const char *Entry
@@ -21,7 +21,7 @@
 
 constexpr const char *Settings = R"({"node_name":"n-1","ip":"10.1.0.35","zone":"one","region":"r","zones":{"one":"r"},"service":"desk",
  "listen_addrs":{"inbound":"10.1.0.35:8145","outbound":"10.1.0.35:8141","readiness_addr":"10.1.0.35:8140"},"app_addr":"10.1.0.35:8147","seeds":[],
- "heartbeat":"870ms","bounds":{"drain":"2500ms","grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":"192"},
+ "heartbeat":"870ms","bounds":{"drain":"2500ms","grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":"192","evacuate":"5000ms","cold_slack":8},
  "limits":{"cpu_share":0.1,"link_mbps":6.0,"memory_mb":260},"platform":{"address":"10.200.1.7:8142","reads_per_s":2000},"new_field":{}})";
 
 template<typename F>
@@ -149,6 +149,9 @@
     BOOST_TEST((c.routes[1].latencyGoal == milliseconds(1'000)));
     BOOST_TEST(c.routes[1].parts.size() == 2U);
     BOOST_TEST(c.services[0].maxConnections == 130U);
+    BOOST_TEST((c.services[0].coldStart == seconds(3)));
+    BOOST_TEST(c.services[0].coldRequestRate == 18.0);
+    BOOST_TEST(c.services[1].coldRequestRate == 0.0);
     BOOST_TEST(c.callerLimits.maxHeadBytes == 16'384U);
     BOOST_TEST((c.callerLimits.idleTimeout == milliseconds(15'000)));
 }
@@ -160,6 +163,7 @@
         BOOST_TEST((valueOrError([&] { return P::decodeConfiguration(replaced(valid, part)); }).index() == 1U));
     }
     BOOST_TEST((valueOrError([&] { return P::decodeConfiguration(replaced(valid, "non_idempotent", "sometimes")); }).index() == 1U));
+    BOOST_TEST((valueOrError([&] { return P::decodeConfiguration(replaced(valid, "18.0", "-1")); }).index() == 1U));
     BOOST_TEST((valueOrError([&] { return P::decodeConfiguration(valid.substr(0, valid.size() / 2)); }).index() == 1U));
 }
 
@@ -208,9 +212,19 @@
     BOOST_TEST(s.retryShare == 0.2);
     BOOST_TEST(s.retrySlack == 192);
     BOOST_TEST(s.linkMbps == 6.0);
+    BOOST_TEST((s.evacuationLimit == std::optional<milliseconds>(5'000)));
+    BOOST_TEST(s.coldOverrun == 1.5);
+    BOOST_TEST(s.coldSlack == 8);
     BOOST_TEST(!s.seedListen.has_value());
 }
 
+/// Guards against new calls to the store in deployments that do not use evacuations.
+BOOST_AUTO_TEST_CASE(parseSettings_withoutEvacuationBound_evacuationsAreOff)
+{
+    const auto s = valueOf([] { return P::parseSettings(replaced(Settings, "\"evacuate\":\"5000ms\",")); });
+    BOOST_TEST(!s.evacuationLimit.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(parseSettings_fieldMissing_errorNamesIt)
 {
     const auto result = valueOrError([] { return P::parseSettings(replaced(Settings, "\"app_addr\":\"10.1.0.35:8147\",")); });
