Durations: nan and inf in a document or Retry-After are refused

Cause: std::from_chars reads "nan" and "inf"; the cast to milliseconds is undefined then. Change: only finite numbers are durations; a Retry-After is bounded before the cast.

--- a/src/forward/storeclient.cpp
+++ b/src/forward/storeclient.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace Fescuenotch {
 
@@ -23,8 +24,9 @@
     }
     double n = 0;
     const auto [end, ec] = std::from_chars(value->data(), value->data() + value->size(), n);
-    const auto wait = ec == std::errc() && n > 0 ? std::chrono::duration<double>(n) : std::chrono::duration<double>(0);
-    return std::min(MaxRetryAfter, std::chrono::ceil<milliseconds>(wait));
+    const bool valid = ec == std::errc() && std::isfinite(n) && n > 0;
+    const auto wait = std::min(std::chrono::duration<double>(valid ? n : 0), std::chrono::duration<double>(MaxRetryAfter));
+    return std::chrono::ceil<milliseconds>(wait);
 }
 
 std::optional<StoreFailure> failureForStatus(unsigned status)
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -56,7 +56,7 @@
 {
     BOOST_TEST((valueOf([] { return P::parseDuration("1500ms"); }) == milliseconds(1'500)));
     BOOST_TEST((valueOf([] { return P::parseDuration("2.5s"); }) == milliseconds(2'500)));
-    for (const auto *invalid : {"", "5", "5m", "-1s", "s", "1e99s"}) {
+    for (const auto *invalid : {"", "5", "5m", "-1s", "s", "1e99s", "nans", "nanms", "infs"}) {
         BOOST_TEST((valueOrError([&] { return P::parseDuration(invalid); }).index() == 1U));
     }
 }
