--- a/src/commands/explain.cpp
+++ b/src/commands/explain.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr int JsonIndentation = 2; ///< spaces
+
 void readInto(LogStory &story, std::istream &in)
 {
     std::string line;
@@ -62,7 +64,8 @@
     if (const auto cause = story.cause()) {
         json["cause"] = lineJson(*cause);
     }
-    std::puts(json.dump(2).c_str());
+    // Values come from callers, whose bytes need not be valid UTF-8.
+    std::puts(json.dump(JsonIndentation, ' ', false, nlohmann::ordered_json::error_handler_t::replace).c_str());
 }
 
 int runExplain(const std::vector<std::string> &args)
