Event loop: an exception in one handler no longer ends the process

Cause: nothing caught an exception between a callback and main, so one message that a component did not expect took the node and all of its requests down. Found while looking for faults seen in other systems. Change: the loop logs and counts it, and resets the connection it came on; the worker goes on with the next job; valueOrError turns it into an error of kind internal. /status replaces invalid UTF-8 in names that peers told. Ruled out: ending the process on purpose, since all requests on the host would be cut.

--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+constexpr int NoIndentation = -1; ///< of JSON
 constexpr milliseconds MaintenancePeriod{500}; ///< ms between checks of deferred removals of targets, of the links and of the settings file
 constexpr unsigned MaintenanceRunsPerLoadLog = 4; ///< at most one log line per two seconds
 constexpr milliseconds StoreWatchCheckPeriod{250}; ///< ms between decisions whether this node watches the store
@@ -128,6 +129,10 @@
     metrics.gauge("fescuenotch_mesh_quarantined_requests", "Requests that are refused because they crash the targets that run them.", {}, [this] {
         return static_cast<double>(m_crashSuspects.quarantined());
     });
+    metrics.gauge("fescuenotch_unexpected_errors",
+                  "Exceptions that left a handler since the start; each is a defect and has a line unexpected_error.",
+                  {},
+                  [this] { return static_cast<double>(m_loop.unexpectedErrors()); });
     metrics.gauge("fescuenotch_store_age_seconds", "Time since the store's last answer.", {}, [this] {
         const auto age = m_store->sync().age(m_loop.now());
         return age == Duration::max() ? -1.0 : std::chrono::duration<double>(age).count();
@@ -222,7 +227,8 @@
     }
     const auto report = m_dispatcher->report();
     status["own_target"] = {{"id", m_dispatcher->targetId()}, {"running", report.running}, {"waiting", report.waiting}, {"slots", report.limit}};
-    return status.dump() + "\n";
+    // Names of targets may come from a peer's frame, whose strings need not be valid UTF-8.
+    return status.dump(NoIndentation, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n";
 }
 
 // ---- [configuration] --------------------------------------------------------------------------------------------
--- a/src/kernel/errors.cpp
+++ b/src/kernel/errors.cpp
@@ -23,10 +23,17 @@
         return "unknown-plugin";
     case ErrorKind::InvalidInput:
         return "invalid-input";
+    case ErrorKind::Internal:
+        return "internal";
     }
     return "unknown";
 }
 
+Error internalError(const std::exception &e)
+{
+    return {ErrorKind::Internal, std::string("unexpected exception: ") + e.what(), "report it as a defect with the input that caused it", {}};
+}
+
 std::string describe(const Error &error)
 {
     return error.remedy.empty() ? error.what : error.what + "; " + error.remedy;
--- a/src/kernel/errors.h
+++ b/src/kernel/errors.h
@@ -12,6 +12,7 @@
 #include <boost/leaf.hpp>
 
 #include <chrono>
+#include <exception>
 #include <optional>
 #include <string>
 #include <utility>
@@ -32,6 +33,7 @@
     ListenFailed, ///< an address cannot be bound
     UnknownPlugin, ///< no plug-in of that name is registered
     InvalidInput, ///< a file or argument given to a tool
+    Internal, ///< an exception of a library, or a defect
 };
 
 /// Short stable name of a kind, used in logs and counters, e.g. "invalid-setting".
@@ -57,7 +59,11 @@
     return leaf::new_error(Error{kind, std::move(what), std::move(remedy), {}});
 }
 
-/// Runs `f`, which returns Result<T>, and gives its value or its error, never losing the message.
+/// The error for an exception that left a function which should return its errors.
+Error internalError(const std::exception &e);
+
+/// Runs `f`, which returns Result<T>, and gives its value or its error, never losing the message. An exception becomes an error of kind
+/// Internal, so that a document which trips a library does not end the process.
 template<typename F>
 auto valueOrError(F &&f)
 {
@@ -65,11 +71,15 @@
     using Either = std::variant<T, Error>;
     return leaf::try_handle_all(
         [&]() -> Result<Either> {
-            auto r = f();
-            if (!r) {
-                return r.error();
+            try {
+                auto r = f();
+                if (!r) {
+                    return r.error();
+                }
+                return Either(std::in_place_index<0>, std::move(r).value());
+            } catch (const std::exception &e) {
+                return Either(std::in_place_index<1>, internalError(e));
             }
-            return Either(std::in_place_index<0>, std::move(r).value());
         },
         [](const Error &error) { return Either(std::in_place_index<1>, error); },
         [] {
--- a/src/loop/eventloop.cpp
+++ b/src/loop/eventloop.cpp
@@ -1,6 +1,8 @@
 // Sections: [timers] [loop] [scoped timer]
 #include "loop/eventloop.h"
 
+#include "kernel/logging.h"
+
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -206,7 +208,39 @@
         calls.swap(m_posted);
     }
     for (const auto &call : calls) {
+        runGuarded("posted call", call);
+    }
+}
+
+bool EventLoop::runGuarded(const char *where, const std::function<void()> &call)
+{
+    std::string what;
+    try {
         call();
+        return true;
+    } catch (const std::exception &e) {
+        what = e.what();
+    } catch (...) {
+        what = "exception of an unknown type";
+    }
+    ++m_unexpectedErrors;
+    logEvent(LogLevel::Error, "unexpected_error")
+        .with("where", where)
+        .with("what", what)
+        .with("remedy", "report it as a defect with the lines before it; the node goes on");
+    return false;
+}
+
+void EventLoop::dispatch(WatchId id, std::uint32_t events)
+{
+    const auto it = m_watchers.find(id);
+    if (it == m_watchers.end()) {
+        return;
+    }
+    const bool done = runGuarded("socket", [&] { it->second->onReady(events); });
+    const auto failed = done ? m_watchers.end() : m_watchers.find(id);
+    if (failed != m_watchers.end()) {
+        runGuarded("close after an error", [&] { failed->second->onHandlerFailed(); });
     }
 }
 
@@ -216,7 +250,7 @@
         std::vector<std::function<void()>> calls;
         calls.swap(m_deferred);
         for (const auto &call : calls) {
-            call();
+            runGuarded("deferred call", call);
         }
     }
 }
@@ -241,13 +275,12 @@
         const int n = ::epoll_wait(m_epoll, events.data(), MaxEventsPerTurn, pollTimeout());
         m_turnTime = now();
         for (int i = 0; i < n; ++i) {
-            const auto it = m_watchers.find(events[static_cast<std::size_t>(i)].data.u64);
-            if (it != m_watchers.end()) {
-                it->second->onReady(events[static_cast<std::size_t>(i)].events);
-            }
+            const auto &event = events[static_cast<std::size_t>(i)];
+            dispatch(event.data.u64, event.events);
         }
         runPosted();
-        m_timers.run(m_turnTime);
+        // A timer that fails ends this call; those due after it run in the next turn.
+        runGuarded("timer", [this] { m_timers.run(m_turnTime); });
         runDeferred();
     }
 }
--- a/src/loop/eventloop.h
+++ b/src/loop/eventloop.h
@@ -13,6 +13,8 @@
 //   suspension.
 // - A watcher may be removed inside any callback; events that were already fetched for it are dropped.
 // - Watches are edge-triggered: a watcher must read or write until the kernel reports EAGAIN, or gets no further event.
+// - An exception that leaves a callback is a defect. It is logged and counted, and the loop goes on: one message that a component cannot
+//   handle must not end all the others. The watcher whose event failed is told, so that it closes its socket.
 #pragma once
 
 #include "kernel/clock.h"
@@ -35,6 +37,10 @@
 public:
     virtual ~SocketWatcher() = default;
     virtual void onReady(std::uint32_t events) = 0; ///< bit set of EPOLLIN, EPOLLOUT, ...
+    /// An exception left `onReady`. The state of the component above is not known, so its socket should be closed.
+    virtual void onHandlerFailed()
+    {
+    }
 };
 
 using WatchId = std::uint64_t;
@@ -107,10 +113,19 @@
     void post(std::function<void()> call); ///< runs `call` on the loop's thread; may be called from any thread
     void run(); ///< returns after `stop`
     void stop(); ///< may be called from any thread
+    /// Exceptions that left a callback since the start.
+    std::uint64_t unexpectedErrors() const
+    {
+        return m_unexpectedErrors;
+    }
 
 private:
     class Waker;
 
+    /// Runs `call` and logs an exception that leaves it; `where` names the kind of callback. Returns whether there was none.
+    bool runGuarded(const char *where, const std::function<void()> &call);
+    void dispatch(WatchId id, std::uint32_t events);
+
     int pollTimeout() const;
     void runDeferred();
     void runPosted();
@@ -120,6 +135,7 @@
     std::unordered_map<WatchId, SocketWatcher *> m_watchers;
     LoopTimers m_timers;
     TimePoint m_turnTime;
+    std::uint64_t m_unexpectedErrors = 0;
     std::vector<std::function<void()>> m_deferred;
     std::atomic<bool> m_stopped{false};
     std::mutex m_postMutex; ///< guards m_posted
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -169,6 +169,11 @@
     }
 }
 
+void TcpStream::onHandlerFailed()
+{
+    closeAndNotify(CloseCause::Reset);
+}
+
 void TcpStream::readAll()
 {
     static thread_local std::array<char, ReadBufferBytes> buffer;
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -79,6 +79,7 @@
     void reset(); ///< aborts with RST, so that the remote side does not mistake the end for a regular one
 
     void onReady(std::uint32_t events) override;
+    void onHandlerFailed() override; ///< resets the connection
 
 private:
     TcpStream(EventLoop &loop, int fd, StreamEvents &events, const StreamOptions &options, bool connected);
--- a/src/loop/worker.cpp
+++ b/src/loop/worker.cpp
@@ -1,5 +1,7 @@
 #include "loop/worker.h"
 
+#include "kernel/logging.h"
+
 namespace Fescuenotch {
 
 Worker::Worker(EventLoop &loop)
@@ -27,6 +29,19 @@
     m_wakeup.notify_one();
 }
 
+/// An exception ends the job, which then delivers no result, and not the process.
+void Worker::runGuarded(const std::function<void()> &job)
+{
+    try {
+        job();
+    } catch (const std::exception &e) {
+        logEvent(LogLevel::Error, "unexpected_error")
+            .with("where", "worker")
+            .with("what", e.what())
+            .with("remedy", "report it as a defect with the lines before it; the node goes on");
+    }
+}
+
 void Worker::runJobs()
 {
     std::unique_lock lock(m_mutex);
@@ -38,7 +53,7 @@
         const auto job = std::move(m_jobs.front());
         m_jobs.pop_front();
         lock.unlock();
-        job();
+        runGuarded(job);
         lock.lock();
     }
 }
--- a/src/loop/worker.h
+++ b/src/loop/worker.h
@@ -5,6 +5,7 @@
 //
 // Pitfalls:
 // - A job must not access objects that belong to the loop's thread.
+// - A job that throws delivers no result. Let it return its errors (kernel/errors.h, valueOrError).
 // - A result may be delivered after the Worker was destroyed; the second function must check that its objects still exist.
 #pragma once
 
@@ -35,6 +36,7 @@
 private:
     void enqueue(std::function<void()> job);
     void runJobs();
+    static void runGuarded(const std::function<void()> &job);
 
     EventLoop &m_loop;
     std::mutex m_mutex; ///< guards m_jobs and m_stopping
--- a/tests/loop/eventloop_test.cpp
+++ b/tests/loop/eventloop_test.cpp
@@ -34,6 +34,9 @@
     void onInput() override
     {
         ++inputs;
+        if (throwsOnInput) {
+            throw std::runtime_error("a message that the handler cannot process");
+        }
     }
     void onDrained() override
     {
@@ -45,6 +48,7 @@
     }
 
     bool connected = false;
+    bool throwsOnInput = false;
     int inputs = 0;
     int drains = 0;
     std::optional<CloseCause> cause;
@@ -101,6 +105,66 @@
     BOOST_TEST(result == 42);
 }
 
+/// Guards against a process that ends because one handler met something unexpected.
+BOOST_AUTO_TEST_CASE(callback_throws_isCountedAndTheOthersRun)
+{
+    unsigned ran = 0;
+    const auto fail = [] { throw std::runtime_error("defect"); };
+    const auto succeed = [&] { ++ran; };
+    loop.defer(fail);
+    loop.defer(succeed);
+    loop.post(fail);
+    loop.post(succeed);
+    loop.timers().after(milliseconds(5), [&](TimePoint) { fail(); });
+    loop.timers().after(milliseconds(5), [&](TimePoint) { succeed(); });
+    runFor(milliseconds(50));
+    BOOST_TEST(ran == 3U);
+    BOOST_TEST(loop.unexpectedErrors() == 3U);
+}
+
+/// As above, for a message: only the connection that it came on is closed.
+BOOST_AUTO_TEST_CASE(stream_inputHandlerThrows_onlyThisConnectionIsReset)
+{
+    const RawServer server(serverAddress(), [](RawSocket &socket, unsigned) {
+        socket.send("x");
+        std::this_thread::sleep_for(milliseconds(100));
+    });
+    RecordedEvents failing;
+    failing.throwsOnInput = true;
+    RecordedEvents working;
+    const auto first = TcpStream::connect(loop, serverAddress(), failing);
+    const auto second = TcpStream::connect(loop, serverAddress(), working);
+    runFor(milliseconds(60));
+    BOOST_TEST((failing.cause == CloseCause::Reset));
+    BOOST_TEST(!first->isOpen());
+    BOOST_TEST(working.inputs == 1);
+    BOOST_TEST(second->isOpen());
+}
+
+/// As above, on the worker's thread.
+BOOST_AUTO_TEST_CASE(worker_jobThrows_laterJobsRun)
+{
+    int result = 0;
+    Worker worker(loop);
+    worker.run([]() -> int { throw std::runtime_error("defect"); }, [](int) {});
+    worker.run([] { return 42; },
+               [&](int value) {
+                   result = value;
+                   loop.stop();
+               });
+    runFor(seconds(2));
+    BOOST_TEST(result == 42);
+}
+
+/// A result that trips a library is an error of the document, not of the process.
+BOOST_AUTO_TEST_CASE(valueOrError_functionThrows_returnsInternalError)
+{
+    const auto result = valueOrError([]() -> Result<int> { throw std::out_of_range("index 9"); });
+    BOOST_REQUIRE(result.index() == 1U);
+    BOOST_TEST((std::get<Error>(result).kind == ErrorKind::Internal));
+    BOOST_TEST(std::get<Error>(result).what.find("index 9") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(stream_portWithoutListener_reportsConnectFailed)
 {
     RecordedEvents events;
