--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -83,6 +83,7 @@
         return *m_hosts[n]->target;
     }
     Endpoint callerEndpoint(std::size_t n) const;
+    Endpoint peerEndpoint(std::size_t n) const; ///< where the node accepts other nodes
     Endpoint nextTargetAddress() const; ///< of the next node that `addNode` adds
     std::string metric(std::size_t n, const std::string &line) const; ///< value of a metric as text; empty if there is none
     std::string statusOf(std::size_t n) const; ///< the page /status
