Cold targets: the cold rate of a service is enforced and balanced

Change: ColdStart decides until when a target is treated as cold, from entries, health answers, losses and slow answers; the exit node enforces the lower of cold and stated rate and refuses with target-cold; entry nodes distribute by it and refuse what cannot be served before the deadline. One health probe when in doubt. Services without cold_per_s are untouched.

--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -227,10 +227,12 @@
     const BalancedRequest wanted{m_route->name, m_goal - now, m_triedTargets};
     const auto &candidates = m_context.candidates(m_service);
     m_target = m_context.loadBalancer.choose(now, candidates, wanted);
-    if (!m_target) {
+    const bool highestPriority = m_route->priority == 0;
+    const bool cold = m_target && m_context.loadBalancer.isColdBeyond(now, candidates, wanted, m_deadline - now, highestPriority);
+    if (!m_target || cold) {
         DeliveryResult end;
         end.outcome = m_retryState.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-        end.reason = m_refusalReason;
+        end.reason = cold ? Reason::TargetCold : m_refusalReason;
         failRequest(end, m_context.loadBalancer.expectedWait(now, candidates));
         return;
     }
@@ -355,7 +357,8 @@
 {
     if (retryAfter > milliseconds(0) && (m_retryAfter == milliseconds(0) || retryAfter < m_retryAfter)) {
         m_retryAfter = retryAfter;
-        m_refusalReason = end.reason == Reason::TargetLimit ? end.reason : Reason::QueueFull;
+        const bool isRate = end.reason == Reason::TargetLimit || end.reason == Reason::TargetCold;
+        m_refusalReason = isRate ? end.reason : Reason::QueueFull;
     }
     auto step = m_context.retryPolicy.next(m_context.now(), m_deadline, *m_route, m_service, end, m_retryState);
     if (m_streaming || mayCrashTheNextTarget(end)) {
@@ -389,7 +392,8 @@
     }
     const bool notRun = !m_retryState.mayHaveRun && end.outcome == Outcome::NotRun;
     const bool late = end.reason == Reason::DeadlinePassed;
-    const bool busy = end.reason == Reason::QueueFull || end.reason == Reason::WaitTooLong || end.reason == Reason::TargetLimit;
+    const bool isRate = end.reason == Reason::TargetLimit || end.reason == Reason::TargetCold;
+    const bool busy = end.reason == Reason::QueueFull || end.reason == Reason::WaitTooLong || isRate;
     const unsigned status = notRun ? (busy ? 429 : 503) : late ? 504 : 502;
     refuse(status, notRun ? Outcome::NotRun : Outcome::Unknown, end.reason, retryAfter == milliseconds(0) ? DefaultRetryAfter : retryAfter);
 }
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -291,6 +291,7 @@
         .with("services", table->configuration().services.size());
     m_callerServer->setLimits(table->configuration().callerLimits);
     m_entry->setTable(table);
+    m_dispatcher->setService(table->service(m_settings.service));
     m_state->onTableInForce(table);
     if (m_store->isWatching()) {
         m_links->sendHeartbeatsNow(); // peers learn of the change from this node
@@ -398,6 +399,10 @@
         }
     }
     m_entry->loadBalancer.retainOnly(targets);
+    m_entry->loadBalancer.onEntries(m_loop.turnTime(), targets, [this](const std::string &name) {
+        const auto *service = m_entry->table() ? m_entry->table()->service(name) : nullptr;
+        return service == nullptr ? 0 : service->coldRequestRate;
+    });
     m_entry->setNodeCount(hosts.size());
 }
 
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -1,4 +1,4 @@
-// Sections: [limits] [request] [crash check] [stream] [admission] [connections] [target]
+// Sections: [limits] [request] [crash check] [cold target] [stream] [admission] [connections] [target]
 #include "forward/targetdispatcher.h"
 
 #include "kernel/logging.h"
@@ -27,6 +27,8 @@
 constexpr std::size_t MaxIdleConnections = 64; ///< connections; above the number of slots that any target states
 
 constexpr Duration CrashCheckDelay = milliseconds(20); ///< ms; the requests of a target that crashes break within this time
+constexpr Duration HealthProbeTimeout = milliseconds(500); ///< ms; a cold target under load needs some ten milliseconds for a health answer
+constexpr MessageLimits HealthAnswerLimits{16'384, 65'536, 65'536}; ///< bytes; a health answer is small
 constexpr Duration RateLogPeriod = seconds(1); ///< s; a rate limit that changes with every answer is logged this often
 constexpr unsigned InitialSlots = 4; ///< concurrent requests to a target whose entry is not known yet
 
@@ -59,7 +61,8 @@
                                              Reason::TargetShed,
                                              Reason::WrongHost,
                                              Reason::Cancelled,
-                                             Reason::TargetLimit};
+                                             Reason::TargetLimit,
+                                             Reason::TargetCold};
     return reasons;
 }
 
@@ -243,6 +246,7 @@
         m_dispatcher.recordResult(isServerError(m_status));
         m_dispatcher.recordAnswerSize(m_request.route, m_answerBytes);
         m_dispatcher.m_serviceTime.record(now - m_startedAt);
+        m_dispatcher.onColdnessAnswer(m_request.route, isServerError(m_status) ? Duration(0) : now - m_startedAt);
         if (m_dispatcher.m_onAnswered) {
             m_dispatcher.m_onAnswered(m_request.fingerprint);
         }
@@ -272,6 +276,7 @@
     void endConnectFailed()
     {
         m_dispatcher.m_connectBackoffUntil = m_dispatcher.m_loop.turnTime() + ConnectBackoff;
+        m_dispatcher.onTargetLost();
         ForwardEnd end;
         if (m_resent) { // the target may have run what was sent on the connection before
             end.reason = Reason::TargetBroke;
@@ -433,6 +438,9 @@
         m_broken.clear();
         return;
     }
+    if (!m_broken.empty()) {
+        onTargetLost();
+    }
     m_connections.add();
     m_crashCheck = std::make_unique<CrashCheck>(*this);
 }
@@ -455,6 +463,10 @@
     if (reachable) {
         return; // single broken answers
     }
+    onTargetLost();
+    if (requests.empty()) {
+        return; // it ended while nothing ran there
+    }
     m_crashes.add();
     std::string suspects;
     for (const auto &each : requests) {
@@ -466,6 +478,181 @@
     }
 }
 
+// ---- [cold target] ----------------------------------------------------------------------------------------------
+
+/// One GET of the service's health path, on a connection of its own.
+class TargetDispatcher::HealthProbe final : public StreamEvents
+{
+public:
+    explicit HealthProbe(TargetDispatcher &dispatcher)
+        : m_dispatcher(dispatcher)
+        , m_reader(MessageReader::Kind::Response, HealthAnswerLimits)
+        , m_stream(TcpStream::connect(dispatcher.m_loop, dispatcher.m_settings.targetAddress, *this))
+    {
+        const Headers headers{{"Host", toString(dispatcher.m_settings.targetAddress)}, {"Connection", "close"}};
+        m_stream->write(formatRequestHead("GET", dispatcher.m_healthPath, headers, {}));
+        m_timer.start(dispatcher.m_loop.timers(), HealthProbeTimeout, [this](TimePoint) { m_dispatcher.endHealthProbe(std::nullopt, "no answer in time"); });
+    }
+
+    void onInput() override
+    {
+        const auto result = m_reader.readHead(m_stream->input());
+        if (result == MessageReader::ReadResult::NeedMore) {
+            return;
+        }
+        if (result != MessageReader::ReadResult::Done || m_reader.head().status >= FirstErrorStatus) {
+            m_dispatcher.endHealthProbe(std::nullopt, "no valid answer");
+            return;
+        }
+        const auto *text = findHeader(m_reader.head().headers, m_dispatcher.m_adapter.headers().coldRemaining);
+        const auto remaining = text == nullptr ? std::nullopt : parseColdRemaining(*text);
+        m_dispatcher.endHealthProbe(remaining, remaining ? "" : "no readable remaining time");
+    }
+
+    void onClosed(CloseCause cause) override
+    {
+        if (cause == CloseCause::ConnectFailed) {
+            m_dispatcher.onTargetLost();
+        }
+        m_dispatcher.endHealthProbe(std::nullopt, closeCauseName(cause));
+    }
+
+    std::string targetId() const
+    {
+        const auto *id = findHeader(m_reader.head().headers, m_dispatcher.m_adapter.headers().healthTargetId);
+        return id == nullptr ? std::string() : *id;
+    }
+
+private:
+    static constexpr unsigned FirstErrorStatus = 400;
+
+    TargetDispatcher &m_dispatcher;
+    MessageReader m_reader;
+    std::unique_ptr<TcpStream> m_stream;
+    ScopedTimer m_timer;
+};
+
+void TargetDispatcher::setService(const MeshService *service)
+{
+    ColdStartSettings settings;
+    if (service != nullptr) {
+        settings = {service->coldStart, service->coldRequestRate, !service->healthPath.empty()};
+        m_healthPath = service->healthPath;
+    }
+    m_cold.configure(m_loop.turnTime(), settings);
+    updateColdness();
+}
+
+void TargetDispatcher::checkColdness()
+{
+    m_cold.requestCheck(m_loop.turnTime());
+    m_queue.restartRequestRate(m_loop.turnTime());
+    updateColdness();
+}
+
+/// Requests that reached the process that ended don't count for the one that returns.
+void TargetDispatcher::onTargetLost()
+{
+    if (!m_cold.isEnabled()) {
+        return;
+    }
+    m_cold.onLost(m_loop.turnTime());
+    m_queue.restartRequestRate(m_loop.turnTime());
+    updateColdness();
+}
+
+void TargetDispatcher::onColdnessAnswer(const std::string &route, Duration serviceTime)
+{
+    if (m_cold.onAnswer(m_loop.turnTime(), route, serviceTime)) {
+        updateColdness();
+    }
+}
+
+std::optional<double> TargetDispatcher::coldRate() const
+{
+    return m_cold.rate(m_loop.turnTime());
+}
+
+std::optional<double> TargetDispatcher::rateInForce() const
+{
+    const auto stated = m_statedRate.perSecond();
+    const auto cold = coldRate();
+    return stated && cold ? std::min(*stated, *cold) : stated ? stated : cold;
+}
+
+Reason TargetDispatcher::rateReason() const
+{
+    const auto stated = m_statedRate.perSecond();
+    const auto cold = coldRate();
+    return cold && (!stated || *cold <= *stated) ? Reason::TargetCold : Reason::TargetLimit;
+}
+
+void TargetDispatcher::updateColdness()
+{
+    if (!m_cold.isEnabled() && !m_coldRateLogged) {
+        return;
+    }
+    const auto now = m_loop.turnTime();
+    logColdness(coldRate());
+    applyRequestRate();
+    if (m_cold.isProbeDue(now) && !m_leaving) {
+        sendHealthProbe();
+    }
+    const auto next = m_cold.nextChange(now);
+    if (next == TimePoint::max()) {
+        m_coldTimer.cancel();
+        return;
+    }
+    m_coldTimer.start(m_loop.timers(), next - now + milliseconds(1), [this](TimePoint) { updateColdness(); });
+}
+
+void TargetDispatcher::logColdness(std::optional<double> rate)
+{
+    if (rate == m_coldRateLogged) {
+        return;
+    }
+    m_coldRateLogged = rate;
+    const auto left = m_cold.nextChange(m_loop.turnTime());
+    const auto known = rate && left != TimePoint::max();
+    logEvent(LogLevel::Info, "target_cold")
+        .with("target", m_targetId)
+        .with("change", rate ? "begin" : "end")
+        .with("per_second", rateText(rate))
+        .with("source", coldSourceName(m_cold.source()))
+        .with("next_check_ms", known ? std::chrono::duration_cast<milliseconds>(left - m_loop.turnTime()).count() : 0)
+        .with("running", m_queue.running())
+        .with("waiting", m_queue.waiting());
+}
+
+void TargetDispatcher::sendHealthProbe()
+{
+    m_cold.onProbeSent(m_loop.turnTime());
+    m_queue.onResent(m_loop.turnTime());
+    m_healthProbes.add();
+    m_connections.add();
+    m_healthProbe = std::make_unique<HealthProbe>(*this);
+}
+
+void TargetDispatcher::endHealthProbe(std::optional<milliseconds> remaining, const std::string &detail)
+{
+    if (!m_healthProbe) {
+        return;
+    }
+    const auto targetId = m_healthProbe->targetId();
+    m_loop.destroyLater(std::move(m_healthProbe));
+    if (remaining) {
+        m_cold.onProbeAnswer(m_loop.turnTime(), *remaining);
+    } else {
+        m_cold.onProbeFailed(m_loop.turnTime());
+    }
+    logEvent(LogLevel::Info, "health_probe")
+        .with("target", m_targetId)
+        .with("answered_by", targetId)
+        .with("cold_ms", remaining ? remaining->count() : -1)
+        .with("detail", detail);
+    updateColdness();
+}
+
 // ---- [stream] ---------------------------------------------------------------------------------------------------
 
 class TargetDispatcher::Stream final : public ForwardStream
@@ -547,6 +734,8 @@
     , m_sent(metrics.counter("fescuenotch_target_sent_total", "Requests sent to the target, also those sent again on a new connection."))
     , m_unreadableRates(metrics.counter("fescuenotch_target_unreadable_limits_total", "Answers of the target whose limit is not a number; the last one stays."))
     , m_crashes(metrics.counter("fescuenotch_target_crashes_total", "Times that the target ended while requests ran there."))
+    , m_coldDelayed(metrics.counter("fescuenotch_target_cold_delayed_total", "Requests that waited while the target was cold."))
+    , m_healthProbes(metrics.counter("fescuenotch_target_health_probes_total", "Health probes sent to the target, to learn whether it is cold."))
     , m_serviceTime(metrics.histogram("fescuenotch_gate_service_seconds", "From the start of a request at the target to its whole answer."))
     , m_waitTime(metrics.histogram("fescuenotch_gate_wait_seconds", "Wait of started requests for a slot."))
 {
@@ -563,6 +752,9 @@
     metrics.gauge("fescuenotch_target_limit_per_second", "Requests a second that the target names as its limit; -1: none.", {}, [this] {
         return m_statedRate.perSecond().value_or(-1);
     });
+    metrics.gauge("fescuenotch_target_cold_per_second", "Requests a second that the target takes while it is cold; -1: it is not cold.", {}, [this] {
+        return coldRate().value_or(-1);
+    });
     metrics.gauge("fescuenotch_gate_slots", "Slots of the target that may be used.", {}, [this] { return static_cast<double>(m_queue.limit()); });
 }
 
@@ -591,9 +783,10 @@
 
 std::unique_ptr<ForwardStream> TargetDispatcher::open(ForwardRequest request, ForwardListener &listener)
 {
-    if (request.targetRequestRate && request.targetId == m_targetId) {
+    const bool isColdRate = request.targetRequestRate && m_cold.isColdRate(*request.targetRequestRate); // this node finds out itself whether it is in force
+    if (request.targetRequestRate && request.targetId == m_targetId && !isColdRate) {
         m_statedRate.onTold(m_loop.turnTime(), *request.targetRequestRate);
-        apply(m_queue.setRequestRate(m_loop.turnTime(), m_statedRate.perSecond()));
+        apply(m_queue.setRequestRate(m_loop.turnTime(), rateInForce(), rateReason()));
     }
     const auto id = m_nextId++;
     const auto reason = refusalReason(request);
@@ -606,6 +799,7 @@
     if (verdict.kind == AdmissionVerdict::Kind::Start) {
         active.start();
     } else if (verdict.kind == AdmissionVerdict::Kind::Wait) {
+        m_coldDelayed.add(rateReason() == Reason::TargetCold ? 1 : 0);
         scheduleTick();
     } else {
         m_loop.defer([this, id, verdict, alive = std::weak_ptr(m_alive)] {
@@ -763,7 +957,7 @@
 {
     m_loop.defer([this, alive = std::weak_ptr(m_alive)] {
         if (!alive.expired()) {
-            apply(m_queue.setRequestRate(m_loop.turnTime(), m_statedRate.perSecond()));
+            apply(m_queue.setRequestRate(m_loop.turnTime(), rateInForce(), rateReason()));
         }
     });
 }
@@ -846,6 +1040,11 @@
         m_loop.destroyLater(std::move(*it));
         m_idleConnections.erase(it);
     }
+    // A target that ends while nothing runs there is noticed by its idle connections, which all close.
+    if (m_cold.isEnabled() && m_idleConnections.empty() && m_requests.empty() && !m_crashCheck && !m_crashCheckTimer.isActive()) {
+        m_brokenAt = m_loop.turnTime();
+        m_crashCheckTimer.start(m_loop.timers(), CrashCheckDelay, [this](TimePoint) { beginCrashCheck(); });
+    }
 }
 
 void TargetDispatcher::onStaleConnection(Duration idle)
@@ -891,12 +1090,17 @@
         m_targetLeaving = false;
         m_queue.onTargetRestarted();
         m_statedRate.reset();
+        if (m_cold.isEnabled()) {
+            m_queue.restartRequestRate(m_loop.turnTime());
+        }
         applyRequestRate();
         m_unreadableRateLogged = false;
         m_idleConnections.clear();
         m_failures = {};
         m_connectBackoffUntil = TimePoint::min();
     }
+    m_cold.onEntry(m_loop.turnTime(), *target);
+    updateColdness();
     apply(m_queue.resize(m_loop.turnTime(), target->slots));
 }
 
@@ -947,7 +1151,7 @@
 TargetReport TargetDispatcher::report() const
 {
     auto report = m_queue.report(m_loop.turnTime());
-    report.requestRate = m_statedRate.perSecond();
+    report.requestRate = rateInForce();
     report.failureRate = m_failures.at(m_loop.turnTime());
     report.uplinkDelay = std::chrono::duration_cast<milliseconds>(uplinkDelay());
     if (m_uplink != nullptr) {
--- a/src/forward/targetdispatcher.h
+++ b/src/forward/targetdispatcher.h
@@ -9,10 +9,14 @@
 // Retries: a request is sent to the target once, with one exception. If a connection that had been idle for a while breaks
 // before a valid head of the answer, the target is taken to have closed it for being idle: an idempotent request whose body
 // was complete from the start is then sent again on a new connection, once.
+//
+// Cold targets (mesh/coldstart.h): for a service with a cold rate, the lower of that rate and the target's stated rate is in force while
+// the target is cold. Health probes use a connection of their own, and count against the rate.
 #pragma once
 
 #include "forward/targetconnection.h"
 #include "kernel/metrics.h"
+#include "mesh/coldstart.h"
 #include "mesh/crashsuspects.h"
 #include "mesh/fadingshare.h"
 #include "mesh/requestrate.h"
@@ -37,6 +41,10 @@
     /// Logs the load of the target if requests are waiting, or were refused since the last line.
     void logLoad();
     TargetReport report() const;
+    /// The configuration of the target's service; null if there is none.
+    void setService(const MeshService *service);
+    /// Treats the target as cold until a health probe or its entry says otherwise. Does nothing for services without a cold rate.
+    void checkColdness();
     /// `backlog` returns the bytes of large answers queued for the host's link. Without this call transfer times are zero.
     void setUplink(const UplinkPacer &pacer, std::function<std::size_t()> backlog);
     /// `onCrash` gets the requests that ran when the target ended, `onAnswered` that of each request that
@@ -55,6 +63,7 @@
 private:
     class ActiveRequest;
     class CrashCheck;
+    class HealthProbe;
     class Stream;
     friend class ActiveRequest;
     friend class Stream;
@@ -86,6 +95,17 @@
     void readRequestRate(const ForwardRequest &request, TimePoint sentAt, const Headers &headers);
     void onUnreadableRate(const ForwardRequest &request, std::size_t headerLines, std::size_t characters);
     void applyRequestRate(); ///< at the end of the turn
+    std::optional<double> coldRate() const;
+    std::optional<double> rateInForce() const; ///< requests per second; the lower of the stated and the cold rate
+    Reason rateReason() const; ///< of refusals that this rate causes
+    /// Call it after each event of m_cold: applies and logs its rate, and sends a probe if one is due.
+    void updateColdness();
+    void logColdness(std::optional<double> rate);
+    void onTargetLost();
+    /// `serviceTime` is zero if it is not representative.
+    void onColdnessAnswer(const std::string &route, Duration serviceTime);
+    void sendHealthProbe();
+    void endHealthProbe(std::optional<milliseconds> remaining, const std::string &detail); ///< none: failed
     void logRequestRate(const ForwardRequest &request, std::optional<double> before);
     void scheduleTick();
     std::unique_ptr<TargetConnection> acquireConnection(const ForwardRequest &request);
@@ -118,6 +138,11 @@
     std::unique_ptr<CrashCheck> m_crashCheck; ///< while one is under way
     ScopedTimer m_crashCheckTimer;
     StatedRate m_statedRate;
+    ColdStart m_cold;
+    std::string m_healthPath; ///< of the target's service; empty: none
+    std::optional<double> m_coldRateLogged; ///< as of the last line target_cold
+    std::unique_ptr<HealthProbe> m_healthProbe; ///< while one is under way
+    ScopedTimer m_coldTimer;
     TimePoint m_rateLoggedAt = TimePoint::min();
     bool m_unreadableRateLogged = false; ///< for this lifetime of the target
     std::unordered_map<std::string, double> m_meanAnswerBytes; ///< moving average by route
@@ -135,6 +160,8 @@
     Counter &m_sent;
     Counter &m_unreadableRates;
     Counter &m_crashes;
+    Counter &m_coldDelayed;
+    Counter &m_healthProbes;
     std::unordered_map<int, Counter *> m_refusals; ///< by Reason
     std::unordered_map<int, Counter *> m_outcomes; ///< by Outcome
     LatencyHistogram &m_serviceTime;
--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -185,7 +185,7 @@
 {
     const bool waitsForRate = m_rate.waitFor(now, m_waiting.size()) > slotWait(m_waiting.size());
     const bool isWait = reason == Reason::QueueFull || reason == Reason::WaitTooLong;
-    return {AdmissionVerdict::Kind::Refuse, isWait && waitsForRate ? Reason::TargetLimit : reason, retryAfter(now)};
+    return {AdmissionVerdict::Kind::Refuse, isWait && waitsForRate ? m_rateReason : reason, retryAfter(now)};
 }
 
 void AdmissionQueue::start(TimePoint now, const AdmissionRequest &request)
@@ -354,14 +354,20 @@
     return changes;
 }
 
-QueueChanges AdmissionQueue::setRequestRate(TimePoint now, std::optional<double> perSecond)
+QueueChanges AdmissionQueue::setRequestRate(TimePoint now, std::optional<double> perSecond, Reason limitedBy)
 {
     QueueChanges changes;
+    m_rateReason = limitedBy;
     m_rate.setRate(now, perSecond);
     startNext(now, changes);
     return changes;
 }
 
+void AdmissionQueue::restartRequestRate(TimePoint now)
+{
+    m_rate.restart(now);
+}
+
 void AdmissionQueue::onResent(TimePoint now)
 {
     m_rate.onSent(now);
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -109,9 +109,11 @@
     /// limit is reduced; it grows back with each started request.
     void onRejected(TimePoint now);
     QueueChanges resize(TimePoint now, unsigned slots);
-    /// The rate limit that the target states, in requests per second; none: not limited.
-    QueueChanges setRequestRate(TimePoint now, std::optional<double> perSecond);
-    /// A running request was sent to the target once more.
+    /// The rate limit in force, in requests per second; none: not limited. `limitedBy` is the reason of refusals that it causes.
+    QueueChanges setRequestRate(TimePoint now, std::optional<double> perSecond, Reason limitedBy = Reason::TargetLimit);
+    /// What reached the target before is not known, or reached another process: the rate limit starts without a burst.
+    void restartRequestRate(TimePoint now);
+    /// A running request was sent to the target once more, or a health probe.
     void onResent(TimePoint now);
     void onTargetRestarted(); ///< discards service times and the reduced limit, since a new process runs at the target's address
     TargetReport report(TimePoint now) const; ///< slots, queue, service times and rate only; the dispatcher that owns the queue fills in the rest
@@ -161,7 +163,7 @@
     Duration estimatedWait(TimePoint now, std::size_t ahead) const; ///< until a request with this many ahead of it starts
     std::size_t countAhead(const QueuePosition &position) const;
     milliseconds retryAfter(TimePoint now) const;
-    /// Gives Reason::TargetLimit instead of a reason of waiting if the rate limit takes longer than the slots.
+    /// Gives the reason of the rate limit instead of a reason of waiting if the rate limit takes longer than the slots.
     AdmissionVerdict refusal(TimePoint now, Reason reason) const;
     void start(TimePoint now, const AdmissionRequest &request);
     void noteOffered(const std::string &kind);
@@ -173,6 +175,7 @@
     AdmissionQueueSettings m_settings;
     ServiceTimes m_times;
     RateLimiter m_rate;
+    Reason m_rateReason = Reason::TargetLimit; ///< of refusals that the rate limit causes
     std::unordered_map<AdmissionId, RunningRequest> m_running; ///< by id
     std::map<unsigned, std::size_t> m_priorities; ///< number of running and waiting requests by priority; without zeros
     std::map<QueuePosition, Waiting> m_waiting;
--- a/src/mesh/loadbalancer.cpp
+++ b/src/mesh/loadbalancer.cpp
@@ -78,12 +78,22 @@
     return queued * service / limit + UtilizationSurcharge * utilization * utilization * service;
 }
 
-/// In seconds, until the rate limit that the target states allows one more request.
+/// In seconds, until a target that is cold according to its entry takes one more request; zero once its exit node has reported since.
+double LoadBalancer::coldEntryDelay(TimePoint now, const TargetStatistics &state) const
+{
+    if (state.coldRate <= 0 || now >= state.cold.until() || state.reportedAt >= state.cold.learnedAt()) {
+        return 0;
+    }
+    const double sent = state.sentSinceCold / std::max(state.coldRate, RateLimiter::ProbeRate);
+    return std::max(0.0, sent - secondsOf(now - state.cold.learnedAt()));
+}
+
+/// In seconds, until the rate limit that the target states, or that holds while it is cold, allows one more request.
 double LoadBalancer::rateDelay(TimePoint now, const TargetStatistics &state) const
 {
     const auto &rate = state.report.requestRate;
     if (!rate) {
-        return 0;
+        return coldEntryDelay(now, state);
     }
     const double sent = state.sentSinceReport / std::max(*rate, RateLimiter::ProbeRate);
     return std::max(0.0, secondsOf(state.report.rateDelay) + sent - secondsOf(now - state.reportedAt));
@@ -185,6 +195,7 @@
     auto &state = m_targets[targetId];
     ++state.inFlight;
     ++state.sentSinceReport;
+    ++state.sentSinceCold;
     const auto kib = responseKib(kind);
     state.kibSinceReport += isBulk(kib) ? kib : 0;
 }
@@ -215,6 +226,39 @@
     state.kibSinceReport = 0;
 }
 
+void LoadBalancer::onEntries(TimePoint now, const std::vector<TargetRecord> &targets, const std::function<double(const std::string &service)> &coldRateOf)
+{
+    for (const auto &target : targets) {
+        const double rate = coldRateOf(target.service);
+        const auto it = m_targets.find(target.id);
+        const bool hadRate = it != m_targets.end() && it->second.coldRate > 0;
+        if (rate <= 0 && !hadRate) {
+            continue;
+        }
+        auto &state = m_targets[target.id];
+        state.coldRate = rate;
+        if (state.cold.onEntry(now, target)) {
+            state.sentSinceCold = 0;
+        }
+    }
+}
+
+bool LoadBalancer::isColdBeyond(
+    TimePoint now, const std::vector<TargetRecord> &candidates, const BalancedRequest &request, Duration timeLeft, bool highestPriority) const
+{
+    const auto options = eligible(now, candidates, request);
+    return !options.empty() && std::all_of(options.begin(), options.end(), [&](const TargetRecord *target) {
+        const auto it = m_targets.find(target->id);
+        if (it == m_targets.end() || it->second.coldRate <= 0) {
+            return false;
+        }
+        const auto &state = it->second;
+        const double rate = std::max(state.report.requestRate.value_or(state.coldRate), RateLimiter::ProbeRate);
+        const double waitOfOthers = highestPriority ? state.report.waiting / rate : 0;
+        return rateDelay(now, state) - waitOfOthers > secondsOf(timeLeft - state.report.meanServiceTime);
+    });
+}
+
 void LoadBalancer::onResponseSize(const std::string &kind, std::size_t bytes)
 {
     if (m_responseKib.size() > MaxKinds) {
--- a/src/mesh/loadbalancer.h
+++ b/src/mesh/loadbalancer.h
@@ -10,6 +10,9 @@
 // target. A large response waits for the host's link while the target works on it, so the longer of both counts; the draw is
 // wider for it, since a link that looks free to many entry nodes is full before the next report.
 //
+// A target whose entry says that it is cold is limited to the cold rate of its service until its exit node reports after the entry's
+// arrival; the report holds the rate in force.
+//
 // Usage: call `onReport` for each load report from an exit node, `choose` for each request, and `onSent` and `onEnded`
 // around it.
 // Pitfall: a target without a report counts as idle, so that a new target gets requests at once.
@@ -17,10 +20,12 @@
 
 #include "kernel/clock.h"
 #include "mesh/admissionqueue.h"
+#include "mesh/coldstart.h"
 #include "mesh/fadingshare.h"
 #include "mesh/targets.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -73,6 +78,13 @@
     void onSent(TimePoint now, const std::string &targetId, const std::string &kind);
     void onEnded(TimePoint now, const std::string &targetId, SendResult result);
     void onReport(TimePoint now, const std::string &targetId, const TargetReport &report);
+    /// The listed targets with their entries. `coldRateOf` returns the requests per second that a cold target of a service takes,
+    /// 0 if that is not limited.
+    void onEntries(TimePoint now, const std::vector<TargetRecord> &targets, const std::function<double(const std::string &service)> &coldRateOf);
+    /// Whether every target that may be chosen is of a service with a cold rate and has a rate limit that allows no further request
+    /// within `timeLeft`. A request of the highest priority goes ahead of those that wait at the target.
+    bool
+    isColdBeyond(TimePoint now, const std::vector<TargetRecord> &candidates, const BalancedRequest &request, Duration timeLeft, bool highestPriority) const;
     /// Response size of a kind of request; large responses are charged for their transfer.
     void onResponseSize(const std::string &kind, std::size_t bytes);
     /// Requests per second that the target accepts from all nodes, as last reported; none: not limited or not known.
@@ -98,6 +110,9 @@
         double kibSinceReport = 0; ///< expected large responses of the requests sent since the report
         FadingShare failures; ///< measured by this node
         TimePoint avoidUntil = TimePoint::min();
+        ColdEntry cold;
+        double coldRate = 0; ///< requests per second that it takes while cold; 0: not limited
+        unsigned sentSinceCold = 0; ///< since the newest statement of its entry
         bool linked = false; ///< a link to its host exists, so a request reaches it without delay
     };
 
@@ -108,6 +123,7 @@
     double costOf(TimePoint now, const TargetRecord &target, const BalancedRequest &request, double defaultServiceTime) const;
     double queueDelay(TimePoint now, const TargetRecord &target, const TargetStatistics &state, double service) const;
     double rateDelay(TimePoint now, const TargetStatistics &state) const;
+    double coldEntryDelay(TimePoint now, const TargetStatistics &state) const;
     double meanServiceTimeOf(const std::vector<TargetRecord> &candidates) const;
     bool hasSaidItLeaves(const TargetRecord &target) const;
     std::vector<const TargetRecord *> eligible(TimePoint now, const std::vector<TargetRecord> &candidates, const BalancedRequest &request) const;
--- a/src/mesh/requestrate.cpp
+++ b/src/mesh/requestrate.cpp
@@ -94,6 +94,12 @@
     m_countedAt = now;
 }
 
+void RateLimiter::restart(TimePoint now)
+{
+    m_tokens = 0;
+    m_countedAt = now;
+}
+
 TimePoint RateLimiter::nextAt() const
 {
     return isLimited() ? m_countedAt + durationOf(std::max(0.0, 1 - m_tokens) / m_perSecond) : TimePoint::min();
--- a/src/mesh/requestrate.h
+++ b/src/mesh/requestrate.h
@@ -49,6 +49,8 @@
     void setRate(TimePoint now, std::optional<double> perSecond); ///< none: no limit
     bool maySend(TimePoint now) const;
     void onSent(TimePoint now);
+    /// Another process runs at the target's address, or what reached it before is not known: starts without a burst.
+    void restart(TimePoint now);
     /// When the next request may be sent; TimePoint::min() without a limit.
     TimePoint nextAt() const;
     /// Until a request with `ahead` others before it may be sent; zero without a limit.
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -1,5 +1,7 @@
 #include "tests/forward/meshfixture.h"
 
+#include <unistd.h>
+
 #include "platform/documents.h"
 
 #include "kernel/logging.h"
@@ -19,6 +21,9 @@
 constexpr std::uint16_t StorePort = 9'705;
 
 /// Each fixture uses other addresses, so that sockets left over from the previous one cannot interfere.
+constexpr unsigned FirstProcessNetwork = 30; ///< second byte of the addresses; other tests use lower ones
+constexpr unsigned ProcessNetworks = 200;
+
 unsigned nextBase()
 {
     static std::atomic<unsigned> base{1};
@@ -27,7 +32,9 @@
 
 std::string hostAddress(unsigned base, std::size_t n)
 {
-    return "127.21." + std::to_string(base) + "." + std::to_string(n + 1);
+    // By process, so that several test programs can run at the same time.
+    const auto process = FirstProcessNetwork + static_cast<unsigned>(::getpid()) % ProcessNetworks;
+    return "127." + std::to_string(process) + "." + std::to_string(base) + "." + std::to_string(n + 1);
 }
 
 /// Uses the platform's documents, but the header names of this fixture.
@@ -244,18 +251,26 @@
 
 void MeshFixture::addCrashingNode(const std::string &service, const std::string &crashText, milliseconds downFor, std::function<void()> onCrash)
 {
-    auto &host = makeHost(service, "one");
     CrashingTargetSettings settings;
-    settings.listen = host.settings.targetAddress;
     settings.crashText = crashText;
     settings.downFor = downFor;
     settings.onCrash = std::move(onCrash);
-    settings.answer = [](const std::string &text) {
-        const std::string name = std::string(RequestIdHeader) + ": ";
-        const auto at = text.find(name) + name.size();
-        const auto id = text.substr(at, text.find('\r', at) - at);
-        return "HTTP/1.1 200 OK\r\n" + name + id + "\r\n" + SignatureHeader + ": m\r\nContent-Length: 2\r\n\r\nok";
-    };
+    settings.answer = crashingTargetAnswer;
+    addCrashingNode(service, std::move(settings));
+}
+
+std::string MeshFixture::crashingTargetAnswer(const std::string &request)
+{
+    const std::string name = std::string(RequestIdHeader) + ": ";
+    const auto at = request.find(name) + name.size();
+    const auto id = request.substr(at, request.find('\r', at) - at);
+    return "HTTP/1.1 200 OK\r\n" + name + id + "\r\n" + SignatureHeader + ": m\r\nContent-Length: 2\r\n\r\nok";
+}
+
+void MeshFixture::addCrashingNode(const std::string &service, CrashingTargetSettings settings)
+{
+    auto &host = makeHost(service, "one");
+    settings.listen = host.settings.targetAddress;
     host.crashingTarget = std::make_unique<CrashingTarget>(std::move(settings));
     startNode(host);
 }
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -68,6 +68,9 @@
     void addRawNode(const std::string &service, RawServer::Script script);
     /// Adds a host whose target ends when it runs a request with `crashText` in it, and is back after `downFor`.
     void addCrashingNode(const std::string &service, const std::string &crashText, milliseconds downFor, std::function<void()> onCrash);
+    /// Adds a host with this target; the address in `settings` is replaced by the host's.
+    void addCrashingNode(const std::string &service, CrashingTargetSettings settings);
+    static std::string crashingTargetAnswer(const std::string &request); ///< 200 to a request of an exit node
     double linkMbps = 1'000; ///< Mbit/s; link speed of the hosts added afterwards
     /// Publishes a configuration for host "desk": /read/ (idempotent) to `readService`, /file/ (non-idempotent) to "desk",
     /// /feed/ (download) to "feed".
--- a/tests/support/crashingtarget.cpp
+++ b/tests/support/crashingtarget.cpp
@@ -36,6 +36,9 @@
 
 void CrashingTarget::live()
 {
+    if (m_settings.onStart) {
+        m_settings.onStart();
+    }
     const int listener = openListenSocket(m_settings.listen, "test").value();
     m_listening = true;
     std::vector<std::thread> connections;
@@ -72,6 +75,10 @@
         if (input.find("\r\n\r\n") == std::string::npos) {
             continue;
         }
+        if (m_settings.isOverload && m_settings.isOverload(input)) {
+            crash();
+            return;
+        }
         const auto until = Clock::now() + m_settings.service;
         while (Clock::now() < until && !m_crashed) {
             std::this_thread::sleep_for(PollPeriod);
@@ -80,12 +87,7 @@
             return;
         }
         if (input.find(m_settings.crashText) != std::string::npos) {
-            if (!m_crashed.exchange(true)) {
-                m_settings.onCrash();
-            }
-            while (m_listening) { // the address of a process that ends is gone by the time its connections are
-                std::this_thread::sleep_for(PollPeriod);
-            }
+            crash();
             return;
         }
         socket.send(m_settings.answer(input));
@@ -93,4 +95,14 @@
     }
 }
 
+void CrashingTarget::crash()
+{
+    if (!m_crashed.exchange(true)) {
+        m_settings.onCrash();
+    }
+    while (m_listening) { // the address of a process that ends is gone by the time its connections are
+        std::this_thread::sleep_for(PollPeriod);
+    }
+}
+
 } // namespace Fescuenotch::Tests
--- a/tests/support/crashingtarget.h
+++ b/tests/support/crashingtarget.h
@@ -1,5 +1,5 @@
-// A target whose process ends, with all its connections and its address, when it runs a request to a certain path, and which is back
-// after a while.
+// A target whose process ends, with all its connections and its address, when it runs a request to a certain path or gets a request
+// that overloads it, and which is back after a while.
 //
 // How to use: construct it with a function that makes the answer to a request; requests whose text contains `crashText` crash it.
 #pragma once
@@ -15,6 +15,8 @@
     milliseconds downFor{500}; ///< ms
     std::function<std::string(const std::string &request)> answer;
     std::function<void()> onCrash;
+    std::function<bool(const std::string &request)> isOverload; ///< called for each request as it arrives; true: it crashes the target
+    std::function<void()> onStart; ///< of each life of the process, before it listens
 };
 
 class CrashingTarget
@@ -26,6 +28,7 @@
 private:
     void live(); ///< one life of the process, until it crashes
     void serve(RawSocket socket);
+    void crash();
 
     CrashingTargetSettings m_settings;
     std::atomic<bool> m_crashed{false};
