--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -251,18 +251,26 @@
 
 void MeshFixture::addCrashingNode(const std::string &service, const std::string &crashText, milliseconds downFor, std::function<void()> onCrash)
 {
-    auto &host = makeHost(service, "one");
     CrashingTargetSettings settings;
-    settings.listen = host.settings.targetAddress;
     settings.crashText = crashText;
     settings.downFor = downFor;
     settings.onCrash = std::move(onCrash);
-    settings.answer = [](const std::string &text) {
-        const std::string name = std::string(RequestIdHeader) + ": ";
-        const auto at = text.find(name) + name.size();
-        const auto id = text.substr(at, text.find('\r', at) - at);
-        return "HTTP/1.1 200 OK\r\n" + name + id + "\r\n" + SignatureHeader + ": m\r\nContent-Length: 2\r\n\r\nok";
-    };
+    settings.answer = crashingTargetAnswer;
+    addCrashingNode(service, std::move(settings));
+}
+
+std::string MeshFixture::crashingTargetAnswer(const std::string &request)
+{
+    const std::string name = std::string(RequestIdHeader) + ": ";
+    const auto at = request.find(name) + name.size();
+    const auto id = request.substr(at, request.find('\r', at) - at);
+    return "HTTP/1.1 200 OK\r\n" + name + id + "\r\n" + SignatureHeader + ": m\r\nContent-Length: 2\r\n\r\nok";
+}
+
+void MeshFixture::addCrashingNode(const std::string &service, CrashingTargetSettings settings)
+{
+    auto &host = makeHost(service, "one");
+    settings.listen = host.settings.targetAddress;
     host.crashingTarget = std::make_unique<CrashingTarget>(std::move(settings));
     startNode(host);
 }
