--- a/src/forward/entrycontext.cpp
+++ b/src/forward/entrycontext.cpp
@@ -80,18 +80,53 @@
     updateRetryBudget();
 }
 
-const std::vector<TargetRecord> &EntryContext::candidates(const std::string &service)
+EntryContext::Candidates &EntryContext::candidatesEntry(const std::string &service)
 {
     if (m_candidates.size() > MaxCachedServices) {
         m_candidates.clear();
     }
     auto &entry = m_candidates[service];
+    const auto *evacuations = m_dependencies.evacuations;
     const auto generation = m_dependencies.targets->generation() + 1; // 0 stands for "never filled"
-    if (entry.generation != generation) {
-        entry.generation = generation;
-        entry.targets = m_dependencies.targets->ofService(service);
+    const auto evacuationsGeneration = evacuations != nullptr && evacuations->isKnown() ? evacuations->generation() + 1 : 0;
+    if (entry.generation == generation && entry.evacuationsGeneration == evacuationsGeneration) {
+        return entry;
+    }
+    entry.generation = generation;
+    entry.evacuationsGeneration = evacuationsGeneration;
+    entry.targets = m_dependencies.targets->ofService(service);
+    entry.excluded = 0;
+    if (evacuations == nullptr) {
+        return entry;
+    }
+    if (!evacuations->isKnown()) {
+        entry.targets.clear(); // each of them may be in an evacuated data centre
+        return entry;
+    }
+    entry.excluded = std::erase_if(entry.targets, [&](const auto &target) { return evacuations->isEvacuated(target.dataCentre); });
+    return entry;
+}
+
+const std::vector<TargetRecord> &EntryContext::candidates(const std::string &service)
+{
+    return candidatesEntry(service).targets;
+}
+
+bool EntryContext::isEvacuated(const std::string &service)
+{
+    const auto &entry = candidatesEntry(service);
+    return entry.targets.empty() && entry.excluded > 0;
+}
+
+std::vector<std::string> EntryContext::candidatesIn(const std::string &service, const std::string &dataCentre)
+{
+    std::vector<std::string> ids;
+    for (const auto &target : candidates(service)) {
+        if (target.dataCentre == dataCentre) {
+            ids.push_back(target.id);
+        }
     }
-    return entry.targets;
+    return ids;
 }
 
 std::set<std::string> EntryContext::requestedServices() const
--- a/src/forward/entrycontext.h
+++ b/src/forward/entrycontext.h
@@ -14,6 +14,7 @@
 #include "forward/peerlinks.h"
 #include "forward/types.h"
 #include "kernel/metrics.h"
+#include "mesh/evacuations.h"
 #include "mesh/loadbalancer.h"
 #include "mesh/meshretrypolicy.h"
 #include "mesh/requestage.h"
@@ -30,6 +31,7 @@
     const PlatformAdapter *adapter = nullptr;
     MetricsRegistry *metrics = nullptr;
     const TargetTable *targets = nullptr;
+    const Evacuations *evacuations = nullptr; ///< null: this deployment does not use them
     Forwarder *localForwarder = nullptr; ///< forwards to the target on this host, without a link
     PeerLinks *links = nullptr;
     CrashSuspects *crashSuspects = nullptr;
@@ -67,8 +69,13 @@
         return m_table;
     }
     void setTable(RoutingTablePtr table);
-    /// The targets of a service, cached until the target table changes.
+    /// The targets of a service outside of evacuated data centres, cached until the targets or the evacuations change. None
+    /// while the evacuations are not known.
     const std::vector<TargetRecord> &candidates(const std::string &service);
+    /// Whether the service has targets, but all of them are in evacuated data centres.
+    bool isEvacuated(const std::string &service);
+    /// The candidates in a data centre, by id.
+    std::vector<std::string> candidatesIn(const std::string &service, const std::string &dataCentre);
     /// Requests must be answered by this time, whatever their own deadlines: this node stops. Call it once, then
     /// EntryRequest::shortenDeadline for each running request.
     void beginStopping(TimePoint latestDeadline)
@@ -116,9 +123,13 @@
 private:
     struct Candidates {
         std::uint64_t generation = 0;
+        std::uint64_t evacuationsGeneration = 0;
         std::vector<TargetRecord> targets;
+        std::size_t excluded = 0; ///< targets in evacuated data centres
     };
 
+    Candidates &candidatesEntry(const std::string &service);
+
     EntryDependencies m_dependencies;
     void updateRetryBudget();
     std::vector<std::string> targetHosts() const; ///< of all listed targets
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -230,7 +230,7 @@
     if (!m_target) {
         DeliveryResult end;
         end.outcome = m_retryState.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-        end.reason = m_refusalReason;
+        end.reason = m_context.isEvacuated(m_service) ? Reason::Evacuated : m_refusalReason;
         failRequest(end, m_context.loadBalancer.expectedWait(now, candidates));
         return;
     }
@@ -346,11 +346,24 @@
         : end.reason == Reason::Cancelled ? SendResult::Cancelled
                                           : SendResult::Failed;
     m_context.loadBalancer.onEnded(now, target.id, result);
+    if (end.reason == Reason::Evacuated) {
+        excludeDataCentre(target.dataCentre);
+    }
     handleFailure({end.outcome, end.reason, end.offered || end.outcome == Outcome::Unknown, hasForwardedAnswer(), 0}, end.retryAfter);
 }
 
 // ---- [failures] -------------------------------------------------------------------------------------------------
 
+/// An exit node knows of an evacuation before this node does: its data centre's other targets would be refused too.
+void EntryRequest::excludeDataCentre(const std::string &dataCentre)
+{
+    const auto ids = m_context.candidatesIn(m_service, dataCentre);
+    m_triedTargets.insert(m_triedTargets.end(), ids.begin(), ids.end());
+    if (m_refusalReason == Reason::NoTarget) {
+        m_refusalReason = Reason::Evacuated;
+    }
+}
+
 void EntryRequest::handleFailure(const DeliveryResult &end, milliseconds retryAfter)
 {
     if (retryAfter > milliseconds(0) && (m_retryAfter == milliseconds(0) || retryAfter < m_retryAfter)) {
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -63,6 +63,7 @@
     void startAttempt();
     ForwardRequest forwardRequest() const;
     bool refuseIfQuarantined(); ///< returns whether it did
+    void excludeDataCentre(const std::string &dataCentre);
     bool mayCrashTheNextTarget(const DeliveryResult &end) const;
     bool retryOnServerError(unsigned status);
     void handleFailure(const DeliveryResult &end, milliseconds retryAfter);
--- a/src/forward/linkcodec.cpp
+++ b/src/forward/linkcodec.cpp
@@ -256,7 +256,8 @@
                                              heartbeat.storePosition.era,
                                              heartbeat.lifetimesDigest,
                                              crashVector,
-                                             clearanceVector));
+                                             clearanceVector,
+                                             heartbeat.evacuationsDigest));
 }
 
 std::string encodeKeepAlive(TimePoint now)
@@ -374,6 +375,7 @@
     out.storePosition = {heartbeat.store_era(), heartbeat.store_revision()};
     out.targetsDigest = heartbeat.targets_digest();
     out.lifetimesDigest = heartbeat.lifetimes_digest();
+    out.evacuationsDigest = heartbeat.evacuations_digest();
     out.crashes = decodeCrashNews(heartbeat, now);
     out.linkMbps = heartbeat.link_mbps();
     if (heartbeat.store_age_ms() != NoStoreAge) {
--- a/src/forward/linkcodec.h
+++ b/src/forward/linkcodec.h
@@ -66,6 +66,7 @@
     StorePosition storePosition; ///< the sender's list of targets includes every change up to here
     std::uint64_t targetsDigest = 0; ///< digest of the sender's list of targets
     std::uint64_t lifetimesDigest = 0; ///< digest of the starts of those targets; 0: not stated, by a node of the build before
+    std::uint64_t evacuationsDigest = 0; ///< digest of the evacuations that the sender knows; 0: it knows none of their states
     CrashNews crashes; ///< times on the clock of the node that holds it
     unsigned linkMbps = 0; ///< Mbit/s; bandwidth of the sender's host link
     Duration storeAge = Duration::max(); ///< time since the store last answered the sender; max: the sender does not watch the store
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -1,4 +1,4 @@
-// Sections: [components] [pages] [configuration] [targets] [links] [crashes] [state] [settings and stop]
+// Sections: [components] [pages] [configuration] [targets] [evacuations] [links] [crashes] [state] [settings and stop]
 #include "forward/meshnode.h"
 
 #include "kernel/logging.h"
@@ -85,6 +85,7 @@
         for (const auto &change : m_targets.tick(now)) {
             logTargetChange(change, "deferred removal");
         }
+        onEvacuationChanges(m_evacuations.tick(now));
         m_crashSuspects.tick(now);
         onTargetsChanged();
         reportOwnTarget();
@@ -128,11 +129,14 @@
     metrics.gauge("fescuenotch_mesh_quarantined_requests", "Requests that are refused because they crash the targets that run them.", {}, [this] {
         return static_cast<double>(m_crashSuspects.quarantined());
     });
+    metrics.gauge(
+        "fescuenotch_mesh_evacuated_data_centres", "Data centres that are evacuated.", {}, [this] { return static_cast<double>(m_evacuations.evacuated()); });
     metrics.gauge("fescuenotch_store_age_seconds", "Time since the store's last answer.", {}, [this] {
         const auto age = m_store->sync().age(m_loop.now());
         return age == Duration::max() ? -1.0 : std::chrono::duration<double>(age).count();
     });
 
+    m_usesEvacuations = m_settings.evacuationLimit.has_value();
     m_worker = std::make_unique<Worker>(m_loop);
     m_dispatcher = std::make_unique<TargetDispatcher>(m_loop, m_settings, *m_adapter, metrics);
     m_dispatcher->setCrashEvents([this](const std::vector<CrashSuspect> &suspects) { onTargetCrashed(suspects); },
@@ -148,6 +152,7 @@
     dependencies.adapter = m_adapter.get();
     dependencies.metrics = &metrics;
     dependencies.targets = &m_targets;
+    dependencies.evacuations = evacuations();
     dependencies.localForwarder = m_dispatcher.get();
     dependencies.links = m_links.get();
     dependencies.crashSuspects = &m_crashSuspects;
@@ -157,6 +162,7 @@
     m_pageServer = std::make_unique<PageServer>(m_loop);
     StoreSyncSettings store;
     store.seed = m_incarnation;
+    store.readEvacuations = m_usesEvacuations;
     store.minOutageForDeferral = m_settings.heartbeat * 2;
     store.configurationDelay = transferTime(TypicalConfigurationBytes, m_settings.linkMbps);
     m_store = std::make_unique<StoreClient>(m_loop, *m_worker, m_settings.store, *m_adapter, store, *this, metrics);
@@ -185,7 +191,8 @@
 
 bool MeshNode::isReady() const
 {
-    return m_entry->table() != nullptr && m_hasTargets && !m_stop;
+    const bool knowsEvacuations = !m_usesEvacuations || m_evacuations.isKnown();
+    return m_entry->table() != nullptr && m_hasTargets && knowsEvacuations && !m_stop;
 }
 
 void MeshNode::addPages()
@@ -220,6 +227,17 @@
                                      {"data_centre", target.dataCentre},
                                      {"state", target.state == TargetState::Ready ? "ready" : "draining"}});
     }
+    status["evacuations_known"] = m_evacuations.isKnown();
+    status["evacuations"] = nlohmann::json::array();
+    for (const auto &each : m_evacuations.statuses(now)) {
+        status["evacuations"].push_back({{"data_centre", each.update.dataCentre},
+                                         {"evacuated", each.update.evacuated},
+                                         {"pending", each.pending ? (each.pending->evacuated ? "evacuated" : "lifted") : "none"},
+                                         {"era", each.update.position.era},
+                                         {"revision", each.update.position.revision},
+                                         {"age_ms", std::chrono::duration_cast<milliseconds>(each.age).count()},
+                                         {"source", each.source}});
+    }
     const auto report = m_dispatcher->report();
     status["own_target"] = {{"id", m_dispatcher->targetId()}, {"running", report.running}, {"waiting", report.waiting}, {"slots", report.limit}};
     return status.dump() + "\n";
@@ -355,6 +373,8 @@
     const auto removalsDeferredUntil = m_store->sync().removalsDeferredUntil();
     const std::pair digestsBefore{m_targets.digest(), m_targets.lifetimesDigest()};
     const auto eraBefore = m_storePosition.era;
+    const auto evacuationsBefore = m_evacuations.digest();
+    applyEvacuationItems(update); // before a configuration makes this node serve requests
     for (const auto &item : update.items) {
         if (item.kind == StoreItem::Kind::Configuration) {
             onConfigurationItem(item);
@@ -378,7 +398,8 @@
         prepareLinks();
     }
     advanceStorePosition(update.position, update.listingComplete, "store");
-    if (std::pair{m_targets.digest(), m_targets.lifetimesDigest()} != digestsBefore || m_storePosition.era > eraBefore) {
+    const bool evacuationsChanged = m_evacuations.digest() != evacuationsBefore;
+    if (std::pair{m_targets.digest(), m_targets.lifetimesDigest()} != digestsBefore || m_storePosition.era > eraBefore || evacuationsChanged) {
         m_links->sendHeartbeatsNow(); // peers learn of the change from this node
     }
     onTargetsChanged();
@@ -445,6 +466,108 @@
     }
 }
 
+// ---- [evacuations] ----------------------------------------------------------------------------------------------
+
+EvacuationUpdate MeshNode::evacuationUpdate(const StoreItem &item, std::uint64_t era)
+{
+    if (!Evacuations::isValidName(item.id)) {
+        logEvent(LogLevel::Warning, "evacuation_ignored")
+            .with("characters", item.id.size())
+            .with("revision", item.revision)
+            .with("remedy", "delete the key; write one that ends in the name of a data centre");
+    }
+    return {item.id, {era, item.revision}, item.value.has_value()};
+}
+
+void MeshNode::applyEvacuationItems(const StoreUpdate &update)
+{
+    if (!m_usesEvacuations) {
+        return;
+    }
+    const auto now = m_loop.turnTime();
+    const auto era = update.position.era;
+    m_evacuations.notePosition(now, update.position);
+    std::vector<EvacuationChange> changes;
+    for (const auto &item : update.items) {
+        if (item.kind != StoreItem::Kind::Evacuation) {
+            continue;
+        }
+        if (auto change = m_evacuations.apply(now, evacuationUpdate(item, era), "store")) {
+            changes.push_back(std::move(*change));
+        }
+    }
+    if (update.evacuationsComplete) {
+        std::vector<EvacuationUpdate> listing;
+        for (const auto &item : update.evacuations) {
+            listing.push_back(evacuationUpdate(item, era));
+        }
+        auto listed = m_evacuations.applyListing(now, listing, update.position, "store");
+        std::move(listed.begin(), listed.end(), std::back_inserter(changes));
+    }
+    onEvacuationChanges(changes);
+}
+
+bool MeshNode::applyEvacuations(const std::vector<EvacuationUpdate> &updates, StorePosition position, const std::string &source)
+{
+    const auto now = m_loop.turnTime();
+    const auto before = m_evacuations.digest();
+    m_evacuations.notePosition(now, position);
+    std::vector<EvacuationChange> changes;
+    for (const auto &update : updates) {
+        if (auto change = m_evacuations.apply(now, update, source)) {
+            changes.push_back(std::move(*change));
+        }
+    }
+    m_evacuations.setKnown();
+    onEvacuationChanges(changes);
+    return m_evacuations.digest() != before;
+}
+
+void MeshNode::onEvacuationChanges(const std::vector<EvacuationChange> &changes)
+{
+    for (const auto &change : changes) {
+        logEvacuationChange(change);
+    }
+    const bool wasEvacuated = m_dispatcher->isEvacuated();
+    m_dispatcher->setEvacuated(m_evacuations.isEvacuated(m_settings.dataCentre));
+    if (wasEvacuated && !m_dispatcher->isEvacuated()) {
+        onEvacuationLifted();
+    }
+}
+
+void MeshNode::logEvacuationChange(const EvacuationChange &change) const
+{
+    const auto &update = change.update;
+    logEvent(LogLevel::Warning, "evacuation")
+        .with("change", evacuationChangeName(change.kind))
+        .with("data_centre", update.dataCentre)
+        .with("evacuated", yesOrNo(update.evacuated))
+        .with("store_era", update.position.era)
+        .with("store_revision", update.position.revision)
+        .with("age_ms", std::chrono::duration_cast<milliseconds>(change.age).count())
+        .with("source", change.source)
+        .with("known_name", yesOrNo(isKnownDataCentre(update.dataCentre)))
+        .with("running", m_dispatcher->report().running)
+        .with("waiting", m_dispatcher->report().waiting);
+}
+
+bool MeshNode::isKnownDataCentre(const std::string &dataCentre) const
+{
+    const auto targets = m_targets.all();
+    const bool hasTargets = std::any_of(targets.begin(), targets.end(), [&](const auto &target) { return target.dataCentre == dataCentre; });
+    return hasTargets || dataCentre == m_settings.dataCentre || m_settings.regionByDataCentre.contains(dataCentre);
+}
+
+void MeshNode::onEvacuationLifted()
+{
+    logEvent(LogLevel::Info, "own_evacuation_lifted").with("data_centre", m_settings.dataCentre).with("target", m_dispatcher->targetId());
+}
+
+const Evacuations *MeshNode::evacuations() const
+{
+    return m_usesEvacuations ? &m_evacuations : nullptr;
+}
+
 // ---- [links] ----------------------------------------------------------------------------------------------------
 
 void MeshNode::onLinkUp(const Endpoint &peer)
@@ -469,6 +592,7 @@
 void MeshNode::onHeartbeat(const Endpoint &peer, const LinkHeartbeat &heartbeat)
 {
     m_store->onEraTold(heartbeat.storePosition.era);
+    m_evacuations.notePosition(m_loop.turnTime(), heartbeat.storePosition);
     m_state->onHeartbeat(m_loop.turnTime(), peer, heartbeat);
     applyCrashNews(heartbeat.crashes, peer.host);
     if (!heartbeat.targetId.empty()) {
@@ -487,6 +611,7 @@
     heartbeat.linkMbps = static_cast<unsigned>(m_settings.linkMbps);
     heartbeat.targetsDigest = m_hasTargets ? m_targets.digest() : 0;
     heartbeat.lifetimesDigest = m_hasTargets ? m_targets.lifetimesDigest() : 0;
+    heartbeat.evacuationsDigest = m_usesEvacuations ? m_evacuations.digest() : 0;
     if (m_store->isWatching() && !m_stop) {
         heartbeat.storeAge = m_store->sync().age(m_loop.turnTime());
     }
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -6,7 +6,8 @@
 //
 // How the configuration and the targets arrive: usually one node of a data centre watches the store, and the others learn of
 // changes from peers (see StoreWatcherSelection, StateExchange). A node reads the list of targets from the store itself, since it
-// knows no peers before. With a configuration and a list of targets it is ready, unless it is stopping.
+// knows no peers before. With a configuration and a list of targets it is ready, unless it is stopping. Where the setting for
+// evacuations is there, the evacuations must be known too (see Evacuations).
 //
 // How a stop proceeds, in the times of StopSchedule: the platform's health page and /readyz answer 503 at once, while requests that
 // still arrive are served. Requests get the stop's latest deadline if theirs is later, also those in flight; exit nodes are told.
@@ -22,6 +23,7 @@
 #include "forward/stateexchange.h"
 #include "forward/storeclient.h"
 #include "forward/targetdispatcher.h"
+#include "mesh/evacuations.h"
 #include "mesh/linkselection.h"
 #include "mesh/stopschedule.h"
 
@@ -70,6 +72,14 @@
     void prepareLinks(); ///< opens the links that LinkSelection wants, so that requests do not wait for them
     void updateSelectedPeers();
 
+    // Evacuations of data centres.
+    EvacuationUpdate evacuationUpdate(const StoreItem &item, std::uint64_t era);
+    void applyEvacuationItems(const StoreUpdate &update);
+    void onEvacuationChanges(const std::vector<EvacuationChange> &changes);
+    void logEvacuationChange(const EvacuationChange &change) const;
+    bool isKnownDataCentre(const std::string &dataCentre) const;
+    void onEvacuationLifted(); ///< of the data centre of this node
+
     // Requests that crash their targets.
     void onTargetCrashed(const std::vector<CrashSuspect> &suspects);
     void onRequestAnswered(Fingerprint fingerprint);
@@ -96,6 +106,8 @@
     StorePosition storePosition() const override;
     bool hasEraRisen() const override;
     bool hasTargets() const override;
+    const Evacuations *evacuations() const override;
+    bool applyEvacuations(const std::vector<EvacuationUpdate> &updates, StorePosition position, const std::string &source) override;
     void updateStoreWatch(TimePoint now);
 
     std::unique_ptr<PlatformAdapter> m_adapter;
@@ -107,6 +119,8 @@
     std::uint64_t m_incarnation; ///< random number that identifies this run of the node
 
     TargetTable m_targets;
+    Evacuations m_evacuations;
+    bool m_usesEvacuations = false; ///< from the settings at the start
     CrashSuspects m_crashSuspects;
     std::mt19937_64 m_random; ///< for the ids of crash records
     std::optional<StoreItem> m_pendingConfiguration; ///< newest one that waits to be parsed
--- a/src/forward/statecodec.cpp
+++ b/src/forward/statecodec.cpp
@@ -214,8 +214,11 @@
 
 // ---- [targets] --------------------------------------------------------------------------------------------------
 
-std::string
-encodeStateNews(const CompressedConfiguration *configuration, const std::vector<TargetUpdate> &targets, bool allTargets, StorePosition storePosition)
+std::string encodeStateNews(const CompressedConfiguration *configuration,
+                            const std::vector<TargetUpdate> &targets,
+                            bool allTargets,
+                            StorePosition storePosition,
+                            const std::vector<EvacuationUpdate> *evacuations)
 {
     Builder fbb(InitialBuilderBytes);
     std::vector<flatbuffers::Offset<MeshWire::TargetNewsRecord>> records;
@@ -260,7 +263,31 @@
         bytes = fbb.CreateVector(reinterpret_cast<const std::uint8_t *>(configuration->bytes.data()), configuration->bytes.size());
     }
     const auto size = configuration == nullptr ? 0 : static_cast<std::uint32_t>(configuration->size);
-    return finishFrame(fbb, MeshWire::CreateStateNews(fbb, bytes, size, list, storePosition.revision, allTargets, storePosition.era));
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<MeshWire::EvacuationRecord>>> evacuationList;
+    if (evacuations != nullptr) {
+        std::vector<flatbuffers::Offset<MeshWire::EvacuationRecord>> evacuationRecords;
+        for (const auto &each : *evacuations) {
+            const auto name = fbb.CreateString(each.dataCentre);
+            evacuationRecords.push_back(MeshWire::CreateEvacuationRecord(fbb, name, each.position.era, each.position.revision, each.evacuated));
+        }
+        evacuationList = fbb.CreateVector(evacuationRecords);
+    }
+    return finishFrame(
+        fbb, MeshWire::CreateStateNews(fbb, bytes, size, list, storePosition.revision, allTargets, storePosition.era, evacuationList, evacuations != nullptr));
+}
+
+std::optional<std::vector<EvacuationUpdate>> decodeEvacuations(const MeshWire::StateNews &news)
+{
+    if (!news.has_evacuations()) {
+        return std::nullopt;
+    }
+    std::vector<EvacuationUpdate> updates;
+    if (news.evacuations() != nullptr) {
+        for (const auto *record : *news.evacuations()) {
+            updates.push_back({record->data_centre()->str(), {record->era(), record->revision()}, record->evacuated()});
+        }
+    }
+    return updates;
 }
 
 std::vector<TargetUpdate> decodeTargetUpdates(const MeshWire::StateNews &news)
--- a/src/forward/statecodec.h
+++ b/src/forward/statecodec.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "forward/linkcodec.h"
+#include "mesh/evacuations.h"
 #include "mesh/routes.h"
 #include "mesh/targets.h"
 
@@ -36,9 +37,15 @@
 };
 CompressedConfiguration compress(const std::string &bytes);
 
-/// `configuration` may be null: nothing newer. `allTargets`: `targets` is the complete list as of `storePosition`.
-std::string
-encodeStateNews(const CompressedConfiguration *configuration, const std::vector<TargetUpdate> &targets, bool allTargets, StorePosition storePosition);
+/// `configuration` may be null: nothing newer. `allTargets`: `targets` is the complete list as of `storePosition`. `evacuations`
+/// are all that the sender knows; null: it does not know them.
+std::string encodeStateNews(const CompressedConfiguration *configuration,
+                            const std::vector<TargetUpdate> &targets,
+                            bool allTargets,
+                            StorePosition storePosition,
+                            const std::vector<EvacuationUpdate> *evacuations = nullptr);
+/// The evacuations that the sender knows; none: it does not know them.
+std::optional<std::vector<EvacuationUpdate>> decodeEvacuations(const MeshWire::StateNews &news);
 std::vector<TargetUpdate> decodeTargetUpdates(const MeshWire::StateNews &news);
 
 } // namespace Fescuenotch
--- a/src/forward/stateexchange.cpp
+++ b/src/forward/stateexchange.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr milliseconds MaxConfigurationDelay{1'500}; ///< ms; time for peers to deliver a first configuration, before it is read from the store
+constexpr milliseconds MaxEvacuationsDelay{1'500}; ///< ms; time for peers to deliver the first evacuations, before this node watches the store itself
+constexpr milliseconds OldEvacuationsDelay{1'000}; ///< ms; a peer that is behind catches up with its own requests within this time
 constexpr std::size_t MaxBaseConfigurations = 8; ///< bases of differences kept; covers a few seconds of rapid changes
 
 } // namespace
@@ -71,7 +73,8 @@
         m_owner.onSameTargets(heartbeat.storePosition, "peer");
         versions = ownVersions();
     }
-    if (!hasNewerConfiguration && !targetsDiffer) {
+    const bool evacuationsDiffer = mayHaveNewEvacuations(now, heartbeat);
+    if (!hasNewerConfiguration && !targetsDiffer && !evacuationsDiffer) {
         return;
     }
     if (!m_requestScheduler.mayRequest(now, {m_targets.isInDataCentre(peer.host, m_settings.dataCentre), lacksInitialState()})) {
@@ -81,6 +84,7 @@
     versions.wantsAllTargets = versions.wantsAllTargets || (targetsDiffer && m_requestedDigest == digests);
     m_requestScheduler.onRequested(now, peer.host);
     m_requestedDigest = targetsDiffer ? digests : 0;
+    m_requestedEvacuations = evacuationsDiffer ? heartbeat.evacuationsDigest : 0;
     m_requestsSent.add();
     m_links->sendStateFrame(peer, encodeStateRequest(versions));
 }
@@ -90,6 +94,21 @@
     return m_owner.tableInForce() == nullptr || !m_owner.hasTargets();
 }
 
+bool StateExchange::lacksEvacuations() const
+{
+    return m_owner.evacuations() != nullptr && !m_owner.evacuations()->isKnown();
+}
+
+bool StateExchange::mayHaveNewEvacuations(TimePoint now, const LinkHeartbeat &heartbeat) const
+{
+    const auto *own = m_owner.evacuations();
+    const auto digest = heartbeat.evacuationsDigest;
+    if (own == nullptr || digest == 0 || digest == own->digest()) {
+        return false;
+    }
+    return digest != m_oldEvacuations || now >= m_ignoreOldEvacuationsUntil;
+}
+
 std::string StateExchange::initialStateRequest(TimePoint now, const LinkIdentity &peer)
 {
     if (!lacksInitialState() || !m_requestScheduler.mayRequest(now, {peer.dataCentre == m_settings.dataCentre, true})) {
@@ -138,7 +157,13 @@
     const bool sendsAll = versions.wantsAllTargets || since.era != m_owner.storePosition().era;
     const auto targets = !m_owner.hasTargets() ? std::vector<TargetUpdate>() : sendsAll ? m_targets.allUpdates(Clock::now()) : m_targets.updatesSince(since);
     // An empty answer is sent too, so that the requesting node turns to another node at once instead of waiting.
-    auto frame = encodeStateNews(includesConfiguration ? &compressedSince(versions.configuration) : nullptr, targets, sendsAll, m_owner.storePosition());
+    const bool knowsEvacuations = m_owner.evacuations() != nullptr && m_owner.evacuations()->isKnown();
+    const auto evacuations = knowsEvacuations ? m_owner.evacuations()->updates() : std::vector<EvacuationUpdate>();
+    auto frame = encodeStateNews(includesConfiguration ? &compressedSince(versions.configuration) : nullptr,
+                                 targets,
+                                 sendsAll,
+                                 m_owner.storePosition(),
+                                 knowsEvacuations ? &evacuations : nullptr);
     m_answersSent.add();
     m_answerBytesSent.add(frame.size());
     logEvent(LogLevel::Info, "state_told")
@@ -155,6 +180,7 @@
 void StateExchange::onNews(const MeshWire::StateNews &news)
 {
     m_requestScheduler.onResponse();
+    applyEvacuations(news); // first: targets and a configuration make this node serve requests
     auto targets = decodeTargetUpdates(news);
     for (auto &target : targets) {
         target.position = withEra(target.position);
@@ -167,6 +193,23 @@
     }
 }
 
+void StateExchange::applyEvacuations(const MeshWire::StateNews &news)
+{
+    auto evacuations = decodeEvacuations(news);
+    if (!evacuations || m_owner.evacuations() == nullptr) {
+        return;
+    }
+    for (auto &each : *evacuations) {
+        each.position = withEra(each.position);
+    }
+    const bool hasNew = m_owner.applyEvacuations(*evacuations, withEra({news.store_era(), news.store_revision()}), "peer");
+    if (!hasNew && m_requestedEvacuations != 0) {
+        m_oldEvacuations = m_requestedEvacuations;
+        m_ignoreOldEvacuationsUntil = Clock::now() + OldEvacuationsDelay;
+    }
+    m_requestedEvacuations = 0;
+}
+
 void StateExchange::decodeConfiguration(const MeshWire::StateNews &news)
 {
     m_decoding = true;
@@ -199,7 +242,13 @@
 
 bool StateExchange::shouldWatch(TimePoint now)
 {
-    if (!m_owner.hasTargets() || isConfigurationOverdue(now)) {
+    if (!lacksEvacuations()) {
+        m_lacksEvacuationsSince.reset();
+    } else if (!m_lacksEvacuationsSince && m_owner.hasTargets()) {
+        m_lacksEvacuationsSince = now;
+    }
+    const bool evacuationsOverdue = m_lacksEvacuationsSince && now - *m_lacksEvacuationsSince > MaxEvacuationsDelay;
+    if (!m_owner.hasTargets() || isConfigurationOverdue(now) || evacuationsOverdue) {
         return true;
     }
     std::vector<std::string> hosts{m_settings.host};
--- a/src/forward/stateexchange.h
+++ b/src/forward/stateexchange.h
@@ -38,6 +38,9 @@
     virtual StorePosition storePosition() const = 0; ///< the list of targets includes every change up to here
     virtual bool hasEraRisen() const = 0; ///< the store came back from an older copy while this node ran
     virtual bool hasTargets() const = 0;
+    virtual const Evacuations *evacuations() const = 0; ///< null: this deployment does not use them
+    /// `updates`: all that a peer knows. Returns whether anything was new.
+    virtual bool applyEvacuations(const std::vector<EvacuationUpdate> &updates, StorePosition position, const std::string &source) = 0;
 };
 
 /// Requests missing state from peers, answers their requests, and decides whether this node watches the store.
@@ -69,6 +72,10 @@
 private:
     StateVersions ownVersions() const;
     bool lacksInitialState() const; ///< no configuration or no targets yet
+    bool lacksEvacuations() const; ///< the deployment uses them, and they are not known yet
+    /// Whether a peer's evacuations differ and may be newer.
+    bool mayHaveNewEvacuations(TimePoint now, const LinkHeartbeat &heartbeat) const;
+    void applyEvacuations(const MeshWire::StateNews &news);
     bool isConfigurationOverdue(TimePoint now) const;
     /// The configuration in force as the difference from `version`, or complete if that version is not kept any more.
     const CompressedConfiguration &compressedSince(std::uint64_t version);
@@ -86,6 +93,10 @@
     std::map<std::uint64_t, CompressedConfiguration> m_compressed; ///< the newest configuration, by the version of its base; 0: complete
     StateRequestScheduler m_requestScheduler;
     std::uint64_t m_requestedDigest = 0; ///< digest of targets for which the last request was sent; 0: the request was not for targets
+    std::uint64_t m_requestedEvacuations = 0; ///< digest of evacuations for which the last request was sent; 0: it was not for them
+    std::uint64_t m_oldEvacuations = 0; ///< digest of a peer's evacuations that brought nothing new; 0: none
+    TimePoint m_ignoreOldEvacuationsUntil = TimePoint::min(); ///< until then peers with that digest are not asked
+    std::optional<TimePoint> m_lacksEvacuationsSince; ///< since when this node has targets, but does not know the evacuations
     std::optional<TimePoint> m_offeredSince; ///< since when a peer has a configuration while this node has none
     bool m_decoding = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/forward/storeclient.cpp
+++ b/src/forward/storeclient.cpp
@@ -62,7 +62,7 @@
     , m_reader(MessageReader::Kind::Response, StoreMessageLimits)
     , m_bytes(metrics.counter("fescuenotch_store_bytes_total", "Bytes of answers of the platform's store."))
 {
-    for (const auto kind : {StoreQuery::Kind::Configuration, StoreQuery::Kind::Targets, StoreQuery::Kind::Watch}) {
+    for (const auto kind : {StoreQuery::Kind::Configuration, StoreQuery::Kind::Targets, StoreQuery::Kind::Watch, StoreQuery::Kind::OperatorItems}) {
         m_calls[kind] = &metrics.counter("fescuenotch_store_calls_total", "Calls to the platform's store.", {{"call", storeQueryName(kind)}});
     }
     for (const auto failure : {StoreFailure::Unreachable,
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -59,7 +59,8 @@
                                              Reason::TargetShed,
                                              Reason::WrongHost,
                                              Reason::Cancelled,
-                                             Reason::TargetLimit};
+                                             Reason::TargetLimit,
+                                             Reason::Evacuated};
     return reasons;
 }
 
@@ -293,7 +294,7 @@
         if (droppedWhileIdle) {
             m_dispatcher.onStaleConnection(exchange.idleTime);
         }
-        const bool resend = droppedWhileIdle && m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete && !m_resent;
+        const bool resend = !m_dispatcher.m_evacuated && droppedWhileIdle && m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete && !m_resent;
         if (resend) {
             m_resent = true;
             m_startedAt = m_dispatcher.m_loop.turnTime();
@@ -577,6 +578,9 @@
     if (m_leaving || m_targetDraining || m_targetLeaving) {
         return Reason::Leaving;
     }
+    if (m_evacuated) {
+        return Reason::Evacuated;
+    }
     if (now >= request.deadline) {
         return Reason::DeadlinePassed;
     }
@@ -924,6 +928,17 @@
     m_refusedSinceLog = 0;
 }
 
+void TargetDispatcher::setEvacuated(bool evacuated)
+{
+    if (evacuated == m_evacuated) {
+        return;
+    }
+    m_evacuated = evacuated;
+    if (evacuated) {
+        apply(m_queue.refuseWaiting(Reason::Evacuated));
+    }
+}
+
 void TargetDispatcher::beginLeaving(TimePoint latestDeadline)
 {
     m_leaving = true;
@@ -953,7 +968,8 @@
     if (m_uplink != nullptr) {
         report.uplinkTimePerKib = std::chrono::duration_cast<microseconds>(m_uplink->timeFor(BytesPerKib));
     }
-    report.leaving = m_leaving || m_targetDraining || m_targetLeaving || m_loop.turnTime() < m_connectBackoffUntil;
+    // Nodes that do not know of the evacuation yet are to turn to other targets.
+    report.leaving = m_leaving || m_evacuated || m_targetDraining || m_targetLeaving || m_loop.turnTime() < m_connectBackoffUntil;
     return report;
 }
 
--- a/src/forward/targetdispatcher.h
+++ b/src/forward/targetdispatcher.h
@@ -32,6 +32,12 @@
     std::unique_ptr<ForwardStream> open(ForwardRequest request, ForwardListener &listener) override;
     /// Applies the target's entry in the list of targets; null if no target is listed at this host's address.
     void setTarget(const TargetRecord *target);
+    /// While the target's data centre is evacuated, new and queued requests are refused; running ones go on.
+    void setEvacuated(bool evacuated);
+    bool isEvacuated() const
+    {
+        return m_evacuated;
+    }
     /// Refuses new requests from now on; running and queued ones go on, until `latestDeadline` at most.
     void beginLeaving(TimePoint latestDeadline);
     /// Logs the load of the target if requests are waiting, or were refused since the last line.
@@ -106,6 +112,7 @@
     bool m_targetDraining = false; ///< its entry says draining, or was removed
     bool m_targetLeaving = false; ///< it said so in an answer; holds for its lifetime, whatever the store says
     bool m_leaving = false;
+    bool m_evacuated = false;
     TimePoint m_connectBackoffUntil = TimePoint::min(); ///< after a failed connection attempt
     unsigned m_refusedSinceLog = 0;
     FadingShare m_failures;
--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -278,6 +278,19 @@
     return changes;
 }
 
+QueueChanges AdmissionQueue::refuseWaiting(Reason reason)
+{
+    QueueChanges changes;
+    for (const auto &[position, waiting] : m_waiting) {
+        changes.refused.emplace_back(waiting.request.id, AdmissionVerdict{AdmissionVerdict::Kind::Refuse, reason, milliseconds(0)});
+        forgetPriority(waiting.request.priority);
+    }
+    m_waiting.clear();
+    m_positions.clear();
+    m_lateWaiting = 0;
+    return changes;
+}
+
 QueueChanges AdmissionQueue::tick(TimePoint now)
 {
     QueueChanges changes;
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -102,6 +102,8 @@
     QueueChanges cancel(TimePoint now, AdmissionId id);
     /// The entry node gives a waiting request less time; does nothing for other requests and later deadlines.
     QueueChanges shortenDeadline(TimePoint now, AdmissionId id, TimePoint deadline);
+    /// Refuses all waiting requests.
+    QueueChanges refuseWaiting(Reason reason);
     /// Refuses waiting requests that can no longer be served in time.
     QueueChanges tick(TimePoint now);
     TimePoint nextTick() const; ///< TimePoint::max() when no request waits
--- a/src/mesh/storesync.cpp
+++ b/src/mesh/storesync.cpp
@@ -7,7 +7,7 @@
 
 const char *storeQueryName(StoreQuery::Kind kind)
 {
-    constexpr std::array<const char *, 3> Names{"configuration", "targets", "watch"};
+    constexpr std::array<const char *, 4> Names{"configuration", "targets", "watch", "operator-items"};
     return Names.at(static_cast<std::size_t>(kind));
 }
 
@@ -94,23 +94,52 @@
         m_nextAt = m_listedOnce ? now : now + m_settings.configurationDelay;
         m_listedOnce = true;
         m_listingMayBeStale = false;
-        m_query = {StoreQuery::Kind::Configuration, "", 0, milliseconds(0), false};
+        m_query = {m_settings.readEvacuations ? StoreQuery::Kind::OperatorItems : StoreQuery::Kind::Configuration, "", 0, milliseconds(0), false};
         break;
     case StoreQuery::Kind::Configuration:
         // The configuration is read after the listing, so the watch delivers every later write.
         update.items = std::move(response.items);
-        m_query = {StoreQuery::Kind::Watch, "", m_watchFrom, m_settings.watchWait, false};
+        watchNext();
+        break;
+    case StoreQuery::Kind::OperatorItems:
+        onOperatorItems(query, std::move(response), update);
         break;
     case StoreQuery::Kind::Watch:
         m_nextAt = response.items.empty() ? now : now + m_settings.batchDelay;
         update.items = std::move(response.items);
         m_watchFrom = std::max(m_watchFrom, response.position.revision);
-        m_query = {StoreQuery::Kind::Watch, "", m_watchFrom, m_settings.watchWait, false};
+        watchNext();
         break;
     }
     return update;
 }
 
+void StoreSync::watchNext()
+{
+    m_query = {StoreQuery::Kind::Watch, "", m_watchFrom, m_settings.watchWait, false};
+}
+
+/// Collects the pages. The position of the whole is that of the first page, so that a write between two pages counts as newer.
+void StoreSync::onOperatorItems(const StoreQuery &query, StoreResponse response, StoreUpdate &update)
+{
+    if (query.afterKey.empty()) {
+        m_operatorItems.clear();
+        m_operatorItemsFrom = response.position.revision;
+    }
+    std::move(response.items.begin(), response.items.end(), std::back_inserter(m_operatorItems));
+    if (response.more) {
+        m_query = {StoreQuery::Kind::OperatorItems, response.lastKey, 0, milliseconds(0), false};
+        return;
+    }
+    for (auto &item : m_operatorItems) {
+        (item.kind == StoreItem::Kind::Evacuation ? update.evacuations : update.items).push_back(std::move(item));
+    }
+    m_operatorItems.clear();
+    update.evacuationsComplete = true;
+    update.position.revision = m_operatorItemsFrom;
+    watchNext();
+}
+
 void StoreSync::onFailure(TimePoint now, const StoreQuery &query, StoreFailure failure, milliseconds retryAfter)
 {
     if (failure == StoreFailure::HistoryCompacted) {
--- a/src/mesh/storesync.h
+++ b/src/mesh/storesync.h
@@ -5,7 +5,8 @@
 // `onFailure`. Apply the StoreUpdate that `onResponse` returns. When `next` returns nothing, wait until `nextAt`.
 //
 // Order of queries: the target listing page by page, the configuration, then one watch over everything, starting at the
-// revision of the listing's first page so that no write in between is missed. When the store no longer has the history
+// revision of the listing's first page so that no write in between is missed. With `readEvacuations`, the configuration is
+// read together with the evacuations of data centres, as a listing of all items of the operator. When the store no longer has the history
 // that a watch needs, or comes back in a new era, the sequence restarts with the listing. After failures the delay doubles, with jitter, so that the
 // nodes of a fleet do not all return at the same moment.
 #pragma once
@@ -24,27 +25,33 @@
 
 /// One entry of the store, or its removal.
 struct StoreItem {
-    enum class Kind { Configuration, Target, Other } kind = Kind::Other;
-    std::string id; ///< target id; only for kind Target
+    enum class Kind { Configuration, Target, Evacuation, Other } kind = Kind::Other;
+    std::string id; ///< target id, or name of the evacuated data centre
     std::uint64_t revision = 0; ///< in the era of the response
     std::optional<std::string> value; ///< raw bytes; none: removed
 };
 
 struct StoreQuery {
-    enum class Kind { Configuration, Targets, Watch } kind = Kind::Configuration;
-    std::string afterKey; ///< Targets: last key of the previous page; empty: first page
+    enum class Kind {
+        Configuration,
+        Targets,
+        Watch,
+        OperatorItems, ///< the configuration and all evacuations
+    } kind
+        = Kind::Configuration;
+    std::string afterKey; ///< listings: last key of the previous page; empty: first page
     std::uint64_t afterRevision = 0; ///< Watch: only changes after this revision of the store
     milliseconds wait{0}; ///< ms; Watch: how long the store may hold the query
     bool mayBeStale = false; ///< Targets: a response that is seconds old will do; the store charges less for it
     bool operator==(const StoreQuery &) const = default;
 };
-const char *storeQueryName(StoreQuery::Kind kind); ///< "configuration", "targets", "watch"
+const char *storeQueryName(StoreQuery::Kind kind); ///< "configuration", "targets", "watch", "operator-items"
 
 struct StoreResponse {
     std::vector<StoreItem> items;
     StorePosition position; ///< of the store at this response
-    bool more = false; ///< Targets: another page follows
-    std::string lastKey; ///< Targets: `afterKey` of the next page
+    bool more = false; ///< listings: another page follows
+    std::string lastKey; ///< listings: `afterKey` of the next page
 };
 
 enum class StoreFailure {
@@ -62,6 +69,8 @@
     std::vector<StoreItem> items; ///< apply one by one
     bool listingComplete = false; ///< `listing` contains all targets as of `position`
     std::vector<StoreItem> listing;
+    bool evacuationsComplete = false; ///< `evacuations` contains all evacuations as of `position`
+    std::vector<StoreItem> evacuations;
     StorePosition position;
     bool recovered = false; ///< the store answers again after it was unavailable
     bool outdated = false; ///< the response was of an earlier era and was ignored; the query is repeated
@@ -76,6 +85,7 @@
     milliseconds configurationDelay{0}; ///< ms; after the first listing, time for peers to deliver the configuration before it is read from the store
     milliseconds minOutageForDeferral{2'000}; ///< ms; entries do not expire during shorter outages, so removals are applied at once after them
     milliseconds removalDeferral = LeaseRenewalGrace; ///< ms; removals are deferred for this long after the store recovers or a new era begins
+    bool readEvacuations = false; ///< read the evacuations of data centres along with the configuration
     std::uint64_t seed = 0;
 };
 
@@ -119,12 +129,16 @@
 
 private:
     milliseconds jitter(milliseconds delay);
+    void onOperatorItems(const StoreQuery &query, StoreResponse response, StoreUpdate &update);
+    void watchNext();
 
     StoreSyncSettings m_settings;
     std::minstd_rand m_random;
     StoreQuery m_query;
     std::uint64_t m_watchFrom = 0; ///< revision of the listing's first page, later of the last watch response
     std::vector<StoreItem> m_listing; ///< pages received so far
+    std::vector<StoreItem> m_operatorItems; ///< pages received so far
+    std::uint64_t m_operatorItemsFrom = 0; ///< revision of the first of these pages
     bool m_listedOnce = false;
     bool m_listingMayBeStale = true; ///< until a listing or a new era
     std::uint64_t m_era = 0;
--- a/tests/forward/linkcodec_test.cpp
+++ b/tests/forward/linkcodec_test.cpp
@@ -49,6 +49,13 @@
     BOOST_TEST((sendReport(report) == report));
 }
 
+BOOST_AUTO_TEST_CASE(heartbeat_evacuationsDigest_arrivesUnchanged)
+{
+    LinkHeartbeat heartbeat;
+    heartbeat.evacuationsDigest = 0x1234'5678'9abc'def0;
+    BOOST_TEST(decodeHeartbeat(*receive(encodeHeartbeat(heartbeat, now)).message_as_Pulse(), now).evacuationsDigest == heartbeat.evacuationsDigest);
+}
+
 BOOST_AUTO_TEST_CASE(report_ofNodeThatDoesNotKnowTheField_isNotLimited)
 {
     flatbuffers::FlatBufferBuilder fbb;
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -1,5 +1,7 @@
 #include "tests/forward/meshfixture.h"
 
+#include <unistd.h>
+
 #include "platform/documents.h"
 
 #include "kernel/logging.h"
@@ -19,6 +21,9 @@
 constexpr std::uint16_t StorePort = 9'705;
 
 /// Each fixture uses other addresses, so that sockets left over from the previous one cannot interfere.
+constexpr unsigned FirstProcessNetwork = 30; ///< second byte of the addresses; other tests use lower ones
+constexpr unsigned ProcessNetworks = 200;
+
 unsigned nextBase()
 {
     static std::atomic<unsigned> base{1};
@@ -27,7 +32,9 @@
 
 std::string hostAddress(unsigned base, std::size_t n)
 {
-    return "127.21." + std::to_string(base) + "." + std::to_string(n + 1);
+    // By process, so that several test programs can run at the same time.
+    const auto process = FirstProcessNetwork + static_cast<unsigned>(::getpid()) % ProcessNetworks;
+    return "127." + std::to_string(process) + "." + std::to_string(base) + "." + std::to_string(n + 1);
 }
 
 /// Uses the platform's documents, but the header names of this fixture.
@@ -212,6 +219,7 @@
     s.healthListen = {address, HealthPort};
     s.store = store.endpoint();
     s.linkMbps = linkMbps;
+    s.evacuationLimit = evacuationLimit;
     s.stopLimit = seconds(3);
     s.stopAnnouncement = milliseconds(50);
     m_hosts.push_back(std::move(host));
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -68,6 +68,7 @@
     void addRawNode(const std::string &service, RawServer::Script script);
     /// Adds a host whose target ends when it runs a request with `crashText` in it, and is back after `downFor`.
     void addCrashingNode(const std::string &service, const std::string &crashText, milliseconds downFor, std::function<void()> onCrash);
+    std::optional<milliseconds> evacuationLimit; ///< ms; setting of the hosts added afterwards; none: they do not use evacuations
     double linkMbps = 1'000; ///< Mbit/s; link speed of the hosts added afterwards
     /// Publishes a configuration for host "desk": /read/ (idempotent) to `readService`, /file/ (non-idempotent) to "desk",
     /// /feed/ (download) to "feed".
--- a/tests/forward/statecodec_test.cpp
+++ b/tests/forward/statecodec_test.cpp
@@ -122,6 +122,23 @@
     BOOST_TEST(news->store_era() == 2U);
 }
 
+/// Guards against a peer that does not know the evacuations being taken for one that knows of none.
+BOOST_AUTO_TEST_CASE(evacuations_knownNoneAndNotKnown_arriveAsSent)
+{
+    const auto send = [](const std::vector<EvacuationUpdate> *evacuations) {
+        LinkFrameReader reader;
+        reader.allowLargeFrames();
+        reader.append(encodeStateNews(nullptr, {}, false, {2, 99}, evacuations));
+        const auto frame = valueOrError([&] { return reader.next(); });
+        return decodeEvacuations(*std::get<0>(frame)->message_as_StateNews());
+    };
+    const std::vector<EvacuationUpdate> sent{{"one", {2, 12}, true}, {"two", {1, 90}, false}};
+    const std::vector<EvacuationUpdate> none;
+    BOOST_TEST((send(&sent) == sent));
+    BOOST_TEST((send(&none) == none));
+    BOOST_TEST(!send(nullptr).has_value());
+}
+
 /// Guards the cost of idle links: in a large fleet most links are idle, and traffic between data centres is charged for.
 BOOST_AUTO_TEST_CASE(keepAlive_comparedToAHeartbeat_isUnderAThirdOfItsSize)
 {
--- a/tests/mesh/evacuations_test.cpp
+++ b/tests/mesh/evacuations_test.cpp
@@ -158,8 +158,10 @@
 {
     apply({1, 40}, true);
     apply({1, 90}, false);
+    const auto digest = evacuations.digest();
     list({2, 51}, {{"one", {2, 40}, true}});
     BOOST_TEST(!isEvacuated());
+    BOOST_TEST(evacuations.digest() != digest); // peers are to learn of it before it applies
     now += LeaseRenewalGrace;
     evacuations.tick(now);
     BOOST_TEST(isEvacuated());
@@ -167,14 +169,28 @@
     BOOST_TEST(!isEvacuated());
 }
 
-/// Guards the bound: an evacuation that the operator orders right after a return of the store is no part of the copy.
+/// Guards the bound: an evacuation that the operator orders right after a return of the store is no part of the copy. A node
+/// that has not listed the new era knows that from the position of a heartbeat.
 BOOST_AUTO_TEST_CASE(newEra_evacuationWrittenDuringTheGrace_appliesAtOnce)
 {
     list({1, 10});
-    list({2, 51});
+    evacuations.notePosition(now, {2, 51});
+    BOOST_TEST((apply({2, 51}, true, "two")->kind == EvacuationChange::Kind::Pending));
     BOOST_TEST((apply({2, 52}, true)->kind == EvacuationChange::Kind::Evacuated));
 }
 
+/// Guards against a node that lifts an evacuation after the grace, because the peer that knows of its confirmation has the same
+/// digest.
+BOOST_AUTO_TEST_CASE(newEra_removalIsPending_digestDiffersFromAConfirmedEvacuation)
+{
+    list({1, 10});
+    apply({1, 90}, true);
+    list({2, 51});
+    const auto pending = evacuations.digest();
+    apply({2, 55}, true);
+    BOOST_TEST(evacuations.digest() != pending);
+}
+
 /// A node starts during the grace and learns from a peer what applied before.
 BOOST_AUTO_TEST_CASE(newEra_nodeStartsDuringTheGrace_keepsWhatThePeerStillHonours)
 {
--- a/tests/mesh/storesync_test.cpp
+++ b/tests/mesh/storesync_test.cpp
@@ -86,6 +86,35 @@
     BOOST_TEST((sync.next(now).value().kind == StoreQuery::Kind::Configuration));
 }
 
+/// Guards against a listing of which only the first page counts, and against an evacuation lifted because it was written between
+/// two pages.
+BOOST_AUTO_TEST_CASE(operatorItems_twoPages_areOneListingAsOfTheFirst)
+{
+    StoreSyncSettings settings;
+    settings.readEvacuations = true;
+    sync = StoreSync(settings);
+    sync.onResponse(now, nextQuery(), response(10));
+    const auto first = nextQuery();
+    BOOST_TEST((first.kind == StoreQuery::Kind::OperatorItems));
+    auto page = response(12, {{StoreItem::Kind::Configuration, "", 8, "{}"}, {StoreItem::Kind::Evacuation, "one", 9, ""}});
+    page.more = true;
+    page.lastKey = "op/evacuate/one";
+    const auto partial = sync.onResponse(now, first, page);
+    BOOST_TEST(!partial.evacuationsComplete);
+    BOOST_TEST(partial.items.empty());
+    const auto second = nextQuery();
+    BOOST_TEST((second.kind == StoreQuery::Kind::OperatorItems));
+    BOOST_TEST(second.afterKey == "op/evacuate/one");
+    const auto update = sync.onResponse(now, second, response(15, {{StoreItem::Kind::Evacuation, "two", 14, ""}}));
+    BOOST_TEST(update.evacuationsComplete);
+    BOOST_TEST(update.evacuations.size() == 2U);
+    BOOST_TEST(update.items.size() == 1U);
+    BOOST_TEST((update.position == StorePosition{FirstEra, 12}));
+    const auto watch = nextQuery();
+    BOOST_TEST((watch.kind == StoreQuery::Kind::Watch));
+    BOOST_TEST(watch.afterRevision == 10U);
+}
+
 /// The first configuration is written between two calls of a starting node. A watch from a later revision would miss it.
 BOOST_AUTO_TEST_CASE(start_configurationWrittenAfterItWasRead_watchCoversIt)
 {
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -86,9 +86,35 @@
     BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::Targets, "", 0, milliseconds(0)}) == "/kv-range?prefix=servers/");
     BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::Targets, "servers/i-1", 0, milliseconds(0)}) == "/kv-range?prefix=servers/&after=servers/i-1");
     BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::Targets, "", 0, milliseconds(0), true}) == "/kv-range?prefix=servers/&allow_stale=1");
+    BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::OperatorItems, "", 0, milliseconds(0)}) == "/kv-range?prefix=op/");
+    BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::OperatorItems, "op/evacuate/a b&c%", 0, milliseconds(0)})
+               == "/kv-range?prefix=op/&after=op/evacuate/a%20b%26c%25");
     BOOST_TEST(P::storeRequestTarget({StoreQuery::Kind::Watch, "", 411, seconds(2)}) == "/kv-watch?prefix=&after=411&wait_ms=2000");
 }
 
+/// Only the key of an evacuation counts. Guards against a value that makes a whole response unreadable.
+BOOST_AUTO_TEST_CASE(decodeResponse_operatorItems_returnsConfigurationAndEvacuationsWhateverTheirValue)
+{
+    const StoreQuery query{StoreQuery::Kind::OperatorItems, "", 0, milliseconds(0)};
+    const auto response = valueOf([&] {
+        return P::decodeResponse(query,
+                                 R"({"items":[{"key":"op/config","value":"YQ==","revision":4},{"key":"op/evacuate/","value":"e30=","revision":5},
+                                  {"key":"op/evacuate/one","value":"!!!","revision":6},{"key":"op/evacuate/two","revision":7},
+                                  {"key":"op/evacuated","value":"e30=","revision":8}],"has_more":true,"as_of":9})");
+    });
+    BOOST_REQUIRE(response.items.size() == 5U);
+    BOOST_TEST((response.items[0].kind == StoreItem::Kind::Configuration));
+    BOOST_TEST((response.items[1].kind == StoreItem::Kind::Evacuation));
+    BOOST_TEST(response.items[1].id.empty());
+    BOOST_TEST(response.items[2].id == "one");
+    BOOST_TEST(response.items[2].value.has_value());
+    BOOST_TEST(response.items[3].id == "two");
+    BOOST_TEST(response.items[3].value.has_value());
+    BOOST_TEST((response.items[4].kind == StoreItem::Kind::Other));
+    BOOST_TEST(response.more);
+    BOOST_TEST(response.lastKey == "op/evacuated");
+}
+
 BOOST_AUTO_TEST_CASE(decodeResponse_watch_returnsItemsAndDeletions)
 {
     const StoreQuery watch{StoreQuery::Kind::Watch, "", 1, seconds(1)};
