--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -232,7 +232,7 @@
     if (!m_target || cold) {
         DeliveryResult end;
         end.outcome = m_retryState.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
-        end.reason = cold ? Reason::TargetCold : m_refusalReason;
+        end.reason = m_context.isEvacuated(m_service) ? Reason::Evacuated : cold ? Reason::TargetCold : m_refusalReason;
         failRequest(end, m_context.loadBalancer.expectedWait(now, candidates));
         return;
     }
@@ -348,11 +348,24 @@
         : end.reason == Reason::Cancelled ? SendResult::Cancelled
                                           : SendResult::Failed;
     m_context.loadBalancer.onEnded(now, target.id, result);
+    if (end.reason == Reason::Evacuated) {
+        excludeDataCentre(target.dataCentre);
+    }
     handleFailure({end.outcome, end.reason, end.offered || end.outcome == Outcome::Unknown, hasForwardedAnswer(), 0}, end.retryAfter);
 }
 
 // ---- [failures] -------------------------------------------------------------------------------------------------
 
+/// An exit node knows of an evacuation before this node does: its data centre's other targets would be refused too.
+void EntryRequest::excludeDataCentre(const std::string &dataCentre)
+{
+    const auto ids = m_context.candidatesIn(m_service, dataCentre);
+    m_triedTargets.insert(m_triedTargets.end(), ids.begin(), ids.end());
+    if (m_refusalReason == Reason::NoTarget) {
+        m_refusalReason = Reason::Evacuated;
+    }
+}
+
 void EntryRequest::handleFailure(const DeliveryResult &end, milliseconds retryAfter)
 {
     if (retryAfter > milliseconds(0) && (m_retryAfter == milliseconds(0) || retryAfter < m_retryAfter)) {
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -1,14 +1,12 @@
 #include "tests/forward/meshfixture.h"
 
-#include <unistd.h>
-
-#include "platform/documents.h"
-
 #include "kernel/logging.h"
+#include "platform/documents.h"
 
-#include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 namespace Fescuenotch::Tests {
 
@@ -20,10 +18,10 @@
 constexpr std::uint16_t HealthPort = 9'704;
 constexpr std::uint16_t StorePort = 9'705;
 
-/// Each fixture uses other addresses, so that sockets left over from the previous one cannot interfere.
 constexpr unsigned FirstProcessNetwork = 30; ///< second byte of the addresses; other tests use lower ones
 constexpr unsigned ProcessNetworks = 200;
 
+/// Each fixture uses other addresses, so that sockets left over from the previous one cannot interfere.
 unsigned nextBase()
 {
     static std::atomic<unsigned> base{1};
@@ -197,7 +195,9 @@
 MeshFixture::~MeshFixture()
 {
     for (const auto &host : m_hosts) {
-        host->node->beginStop();
+        if (host->node) { // none after a failed start
+            host->node->beginStop();
+        }
     }
     for (std::size_t n = 0; n < m_hosts.size(); ++n) {
         stopNode(n);
@@ -219,6 +219,7 @@
     s.healthListen = {address, HealthPort};
     s.store = store.endpoint();
     s.linkMbps = linkMbps;
+    s.evacuationLimit = evacuationLimit;
     s.stopLimit = seconds(3);
     s.stopAnnouncement = milliseconds(50);
     m_hosts.push_back(std::move(host));
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -71,6 +71,7 @@
     /// Adds a host with this target; the address in `settings` is replaced by the host's.
     void addCrashingNode(const std::string &service, CrashingTargetSettings settings);
     static std::string crashingTargetAnswer(const std::string &request); ///< 200 to a request of an exit node
+    std::optional<milliseconds> evacuationLimit; ///< ms; setting of the hosts added afterwards; none: they do not use evacuations
     double linkMbps = 1'000; ///< Mbit/s; link speed of the hosts added afterwards
     /// Publishes a configuration for host "desk": /read/ (idempotent) to `readService`, /file/ (non-idempotent) to "desk",
     /// /feed/ (download) to "feed".
