Tests of evacuation: a case is named after what happens

Cause: waiting requests without another target are refused, not moved, and callers pause 5 ms. Change: name of one case and a comment. Result: EvacuationTest, StateCodecTest and LinkCodecTest (24 cases) pass.

--- a/tests/forward/evacuation_test.cpp
+++ b/tests/forward/evacuation_test.cpp
@@ -69,7 +69,7 @@
     std::size_t m_nodes = 0;
 };
 
-/// Callers that send idempotent requests to all nodes without a pause.
+/// Callers that each send one idempotent request after the other, 5 ms apart.
 class Callers
 {
 public:
@@ -170,7 +170,7 @@
 }
 
 /// Guards a caller whose request runs, or waits, at a target when its data centre is evacuated.
-BOOST_AUTO_TEST_CASE(evacuation_whileRequestsRunAndWait_runningOnesFinishAndWaitingOnesMove)
+BOOST_AUTO_TEST_CASE(evacuation_whileRequestsRunAndWait_runningOnesFinishAndWaitingOnesAreRefused)
 {
     addNode("desk", "one");
     addNode("feed", "two");
