Cold targets: a cold rate limits requests of the same turn; tests of the dispatcher

Cause: the rate was applied at the end of the turn, so that 18 of 18 requests opened together with checkColdness reached the target before the health answer (ColdDispatcherTest), and the probe did not count against the rate. Change: AdmissionQueue::limitRequestRate takes effect at once and starts nothing.

--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -594,6 +594,9 @@
     }
     const auto now = m_loop.turnTime();
     logColdness(coldRate());
+    if (coldRate()) { // requests of this turn and a probe must count already
+        m_queue.limitRequestRate(now, *rateInForce(), rateReason());
+    }
     applyRequestRate();
     if (m_cold.isProbeDue(now) && !m_leaving) {
         sendHealthProbe();
--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -363,6 +363,12 @@
     return changes;
 }
 
+void AdmissionQueue::limitRequestRate(TimePoint now, double perSecond, Reason limitedBy)
+{
+    m_rateReason = limitedBy;
+    m_rate.setRate(now, perSecond);
+}
+
 void AdmissionQueue::restartRequestRate(TimePoint now)
 {
     m_rate.restart(now);
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -111,6 +111,8 @@
     QueueChanges resize(TimePoint now, unsigned slots);
     /// The rate limit in force, in requests per second; none: not limited. `limitedBy` is the reason of refusals that it causes.
     QueueChanges setRequestRate(TimePoint now, std::optional<double> perSecond, Reason limitedBy = Reason::TargetLimit);
+    /// The same for a rate that only limits further: takes effect at once and starts nothing.
+    void limitRequestRate(TimePoint now, double perSecond, Reason limitedBy);
     /// What reached the target before is not known, or reached another process: the rate limit starts without a burst.
     void restartRequestRate(TimePoint now);
     /// A running request was sent to the target once more, or a health probe.
--- a/tests/forward/coldtarget_test.cpp
+++ b/tests/forward/coldtarget_test.cpp
@@ -1,4 +1,5 @@
 // Cold targets with real nodes: a target that counts the requests that reach it and crashes when it is overloaded while cold.
+#include "kernel/logging.h"
 #include "tests/forward/meshfixture.h"
 #include "tests/support/arrivals.h"
 
@@ -181,6 +182,24 @@
     BOOST_TEST(answers.served >= 15U);
 }
 
+/// Only the idle connections of the node show that the target has ended.
+BOOST_AUTO_TEST_CASE(targetEndsWhileNothingRuns_returns_isNotOverloaded)
+{
+    ColdTarget target(milliseconds(1'500));
+    addCrashingNode("desk", target.settings());
+    publishCold(ColdRate, milliseconds(1'500));
+    waitReady();
+    std::this_thread::sleep_for(milliseconds(1'600));
+    get(0, "/read/x");
+    crashingTarget(0).crash();
+    std::this_thread::sleep_for(milliseconds(600));
+    Answers answers;
+    flood(0, milliseconds(1'000), answers);
+    BOOST_TEST(target.crashes == 1U);
+    BOOST_TEST(target.mostPerSecond() <= Bound);
+    BOOST_TEST(answers.served >= 8U);
+}
+
 /// Guards services without a cold rate: no probe, no limit.
 BOOST_AUTO_TEST_CASE(noColdRate_targetCrashesAndReturns_noProbeAndNoLimit)
 {
@@ -215,3 +234,158 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+class IgnoringListener final : public ForwardListener
+{
+public:
+    void onAnswer(ForwardAnswer) override
+    {
+    }
+    void onAnswerBody(std::string_view) override
+    {
+    }
+    void onEnded(const ForwardEnd &) override
+    {
+    }
+    void onReadyForBody() override
+    {
+    }
+};
+
+/// A dispatcher on its own loop, with a target whose health answer comes after `healthDelay`.
+struct ColdDispatcherFixture {
+    static constexpr milliseconds HealthDelay{300};
+
+    DeploymentSettings settings;
+    std::unique_ptr<TargetStandin> target;
+    std::unique_ptr<PlatformAdapter> adapter;
+    std::unique_ptr<MetricsRegistry> metrics = makeMetricsRegistry();
+    EventLoop loop;
+    std::unique_ptr<TargetDispatcher> dispatcher;
+    IgnoringListener listener;
+    std::vector<std::unique_ptr<ForwardStream>> streams;
+    std::string statedRate; ///< by the target; empty: none
+    std::string coldMs = "0"; ///< in health answers
+
+    ColdDispatcherFixture()
+    {
+        startLogging(LogLevel::Error, "");
+        settings.targetAddress = {"127.22.1.1", 9'701};
+        target = std::make_unique<TargetStandin>("t0", settings.targetAddress);
+        target->setBehaviour([this](const Standins::ServerCall &call) { return answer(call); });
+        adapter = makeFixtureAdapter(settings);
+        dispatcher = std::make_unique<TargetDispatcher>(loop, settings, *adapter, *metrics);
+    }
+
+    ~ColdDispatcherFixture()
+    {
+        streams.clear();
+    }
+
+    Standins::ServerReply answer(const Standins::ServerCall &call) const
+    {
+        if (call.path == HealthPath) {
+            std::this_thread::sleep_for(HealthDelay);
+            Standins::ServerReply reply;
+            reply.headers = {{HealthTargetIdHeader, "t0"}, {ColdRemainingHeader, coldMs}};
+            return reply;
+        }
+        auto reply = target->validReply(call, "ok");
+        if (!statedRate.empty()) {
+            reply.headers.push_back({RequestRateHeader, statedRate});
+        }
+        return reply;
+    }
+
+    void begin()
+    {
+        TargetRecord record;
+        record.id = "t0";
+        record.slots = 20;
+        dispatcher->setTarget(&record);
+        const MeshService service{"desk", HealthPath, 0, seconds(3), ColdRate};
+        dispatcher->setService(&service);
+    }
+
+    void openRequests(int n)
+    {
+        for (; n > 0; --n) {
+            ForwardRequest request;
+            request.requestId = std::to_string(streams.size());
+            request.headers = {{RequestIdHeader, request.requestId}};
+            request.targetId = "t0";
+            request.route = "read";
+            request.method = "GET";
+            request.path = "/read/x";
+            request.goal = loop.turnTime() + seconds(20);
+            request.deadline = loop.turnTime() + seconds(40);
+            request.bodyLength = 0;
+            streams.push_back(dispatcher->open(std::move(request), listener));
+        }
+    }
+
+    void at(milliseconds time, std::function<void()> call)
+    {
+        loop.timers().after(time, [call = std::move(call)](TimePoint) { call(); });
+    }
+
+    std::size_t requestsOtherThanProbes() const
+    {
+        const auto all = target->requests();
+        return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto &each) { return each.path != HealthPath; }));
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ColdDispatcherTest, ColdDispatcherFixture)
+
+/// A lifted evacuation: the target may have become cold meanwhile, so load waits for the answer of the probe, and no longer.
+BOOST_AUTO_TEST_CASE(checkColdness_probeIsNotAnswered_coldRateHoldsUntilItIs)
+{
+    std::size_t before = 0;
+    std::size_t after = 0;
+    at(milliseconds(1), [&] { begin(); });
+    at(milliseconds(1'200), [&] {
+        BOOST_TEST(!dispatcher->report().requestRate.has_value());
+        dispatcher->checkColdness();
+        openRequests(18);
+    });
+    at(milliseconds(1'400), [&] { before = requestsOtherThanProbes(); });
+    at(milliseconds(1'700), [&] {
+        after = requestsOtherThanProbes();
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(before >= 1U);
+    BOOST_TEST(before <= 5U);
+    BOOST_TEST(after == 18U);
+}
+
+/// The lower of the target's stated rate and the cold rate is in force and reported.
+BOOST_AUTO_TEST_CASE(statedRate_targetIsCold_lowerOfBothIsInForce)
+{
+    std::optional<double> lower;
+    std::optional<double> higher;
+    coldMs = "5000";
+    statedRate = "5";
+    at(milliseconds(1), [&] { begin(); });
+    at(milliseconds(400), [&] { openRequests(1); });
+    at(milliseconds(700), [&] {
+        lower = dispatcher->report().requestRate;
+        BOOST_TEST_REQUIRE(requestsOtherThanProbes() == 1U);
+        statedRate = "40";
+        openRequests(1);
+    });
+    at(milliseconds(1'200), [&] {
+        higher = dispatcher->report().requestRate;
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(lower.value_or(0) == 5.0);
+    BOOST_TEST(higher.value_or(0) == ColdRate);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -129,6 +129,11 @@
 
 } // namespace
 
+std::unique_ptr<PlatformAdapter> makeFixtureAdapter(const DeploymentSettings &settings)
+{
+    return std::make_unique<FixedAdapter>(settings);
+}
+
 // ---- [target] ---------------------------------------------------------------------------------------------------
 
 TargetStandin::TargetStandin(std::string id, const Endpoint &endpoint)
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -19,6 +19,9 @@
 
 namespace Fescuenotch::Tests {
 
+/// Uses the platform's documents, but the header names of this fixture.
+std::unique_ptr<PlatformAdapter> makeFixtureAdapter(const DeploymentSettings &settings);
+
 /// A request as a target received it.
 struct ReceivedRequest {
     std::string method;
@@ -85,6 +88,10 @@
     {
         return *m_hosts[n]->target;
     }
+    CrashingTarget &crashingTarget(std::size_t n)
+    {
+        return *m_hosts[n]->crashingTarget;
+    }
     Endpoint callerEndpoint(std::size_t n) const;
     Endpoint nextTargetAddress() const; ///< of the next node that `addNode` adds
     std::string metric(std::size_t n, const std::string &line) const; ///< value of a metric as text; empty if there is none
