Adapter: names of health answers come last, and the fixture has them

Cause: the new names stood before the one of the rate limit, so the fixture's positional list gave that one to another field. Change: order, and two names in the fixture.

--- a/src/adapter/adapter.h
+++ b/src/adapter/adapter.h
@@ -65,9 +65,9 @@
     std::string signature; ///< present on every response made by a target
     std::string targetLeaving; ///< in every answer of a target that is about to end
     std::string targetLeavingValue; ///< value of that header; any other says nothing
+    std::string requestRate; ///< rate limit that an overloaded target states: requests per second from all hosts together
     std::string healthTargetId; ///< in health answers: id of the target that answers
     std::string coldRemaining; ///< in health answers: ms for which the target stays cold
-    std::string requestRate; ///< rate limit that an overloaded target states: requests per second from all hosts together
 };
 
 /// Whether a target says in its answer that it is about to end.
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -69,7 +69,9 @@
                                                SignatureHeader,
                                                LeavingHeader,
                                                LeavingValue,
-                                               RequestRateHeader};
+                                               RequestRateHeader,
+                                               HealthTargetIdHeader,
+                                               ColdRemainingHeader};
         return names;
     }
 
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -125,5 +125,7 @@
 constexpr const char *LeavingHeader = "Is-Leaving";
 constexpr const char *LeavingValue = "yes";
 constexpr const char *RequestRateHeader = "Takes-Per-Second";
+constexpr const char *HealthTargetIdHeader = "Target-Instance";
+constexpr const char *ColdRemainingHeader = "Target-Cold-Ms";
 
 } // namespace Fescuenotch::Tests
