Service times have an age: a target that was slow gets its work back

Cause: the mean service time that an exit node reports changed only with answers. A target that was slow and then got no work was never measured again, and one that a heavy tail made look slow lost its work for good.

Change: the exit node weighs earlier samples less the older they are, bounds outliers at three times the mean of their kind where targets are compared, and counts running requests that are already late. The entry node lets service times of targets without work approach the mean of the targets at work: for 3 % of the requests, and for every request that would still meet its goal if the target were as slow as measured.

--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-constexpr double SampleWeight = 0.1; ///< of a moving average; about the last twenty samples count
+constexpr double MinSampleWeight = 0.1; ///< of the newest sample in a moving average; at a steady rate about the last twenty count
+constexpr double MaxOutlier = 3; ///< multiple of the mean; a longer service time counts as this much where targets are compared
+constexpr Duration SampleHalfLife = milliseconds(400); ///< ms; in this time the weight of earlier samples halves
 constexpr double ShareDecay = 0.995; ///< per request, of the offered and started counts; the last few hundred requests count
 constexpr double MinOfferedForStarvation = 10; ///< requests; fewer are too small a sample
 constexpr double LimitDecreaseFactor = 0.85; ///< applied to the limit after RejectionThreshold rejections in a row
@@ -26,39 +28,52 @@
 constexpr unsigned MaxPriorityNumber = 1'000; ///< higher numbers are treated as this one
 constexpr std::size_t MaxKinds = 1'024; ///< bounds memory; beyond this the statistics start over
 
-void updateMean(double &mean, double sample)
-{
-    mean = mean == 0 ? sample : (1 - SampleWeight) * mean + SampleWeight * sample;
-}
-
 } // namespace
 
 // ---- [service times] --------------------------------------------------------------------------------------------
 
-void ServiceTimes::add(const std::string &kind, Duration service)
+void ServiceTimes::Mean::add(TimePoint now, double sample)
+{
+    samples *= std::exp2(-secondsOf(now - at) / secondsOf(SampleHalfLife));
+    samples += 1;
+    const double weight = std::max(MinSampleWeight, 1 / samples);
+    value = value == 0 ? sample : (1 - weight) * value + weight * sample;
+    at = now;
+}
+
+void ServiceTimes::add(TimePoint now, const std::string &kind, Duration service)
 {
     if (m_meanByKind.size() > MaxKinds) {
         m_meanByKind.clear();
     }
-    updateMean(m_meanByKind[kind], secondsOf(service));
-    updateMean(m_mean, secondsOf(service));
+    auto &ofKind = m_meanByKind[kind];
+    const double highest = ofKind.value == 0 ? secondsOf(service) : MaxOutlier * ofKind.value;
+    m_typical.add(now, std::min(secondsOf(service), highest));
+    ofKind.add(now, secondsOf(service));
+    m_mean.add(now, secondsOf(service));
 }
 
 Duration ServiceTimes::of(const std::string &kind) const
 {
     const auto it = m_meanByKind.find(kind);
-    return durationOf(it == m_meanByKind.end() ? m_mean : it->second);
+    return durationOf(it == m_meanByKind.end() ? m_mean.value : it->second.value);
 }
 
 Duration ServiceTimes::mean() const
 {
-    return durationOf(m_mean);
+    return durationOf(m_mean.value);
+}
+
+Duration ServiceTimes::typical() const
+{
+    return durationOf(m_typical.value);
 }
 
 void ServiceTimes::reset()
 {
     m_meanByKind.clear();
-    m_mean = 0;
+    m_mean = {};
+    m_typical = {};
 }
 
 // ---- [order] ----------------------------------------------------------------------------------------------------
@@ -191,7 +206,7 @@
 void AdmissionQueue::start(TimePoint now, const AdmissionRequest &request)
 {
     m_rate.onSent(now);
-    m_running.emplace(request.id, RunningRequest{request.kind, request.priority});
+    m_running.emplace(request.id, RunningRequest{request.kind, request.priority, now});
     ++m_priorities[request.priority];
     noteStarted(request.kind);
     m_limit = std::min<double>(m_settings.slots, m_limit + LimitIncreasePerStart);
@@ -241,7 +256,7 @@
     const auto node = m_running.extract(id);
     if (!node.empty() && service > Duration(0)) {
         m_consecutiveRejections = 0;
-        m_times.add(node.mapped().kind, service);
+        m_times.add(now, node.mapped().kind, service);
     }
     if (!node.empty()) {
         forgetPriority(node.mapped().priority);
@@ -380,13 +395,26 @@
     return std::max(1U, static_cast<unsigned>(std::lround(m_limit)));
 }
 
+/// Counts each request that already runs longer than the mean as a sample, so that a target that becomes slow is known before its slow
+/// answers arrive.
+double AdmissionQueue::reportedServiceTime(TimePoint now) const
+{
+    const double measured = secondsOf(m_times.typical());
+    double reported = measured;
+    for (const auto &[id, running] : m_running) {
+        const double atLeast = std::min(secondsOf(now - running.startedAt), MaxOutlier * measured);
+        reported += MinSampleWeight * std::max(0.0, atLeast - reported);
+    }
+    return reported;
+}
+
 TargetReport AdmissionQueue::report(TimePoint now) const
 {
     TargetReport report;
     report.running = static_cast<unsigned>(m_running.size());
     report.limit = limit();
     report.waiting = static_cast<unsigned>(m_waiting.size());
-    report.meanServiceTime = std::chrono::duration_cast<microseconds>(m_times.mean());
+    report.meanServiceTime = std::chrono::duration_cast<microseconds>(durationOf(reportedServiceTime(now)));
     report.rateDelay = std::chrono::ceil<milliseconds>(m_rate.waitFor(now, m_waiting.size()));
     return report;
 }
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -47,7 +47,7 @@
     unsigned running = 0; ///< requests
     unsigned limit = 0; ///< requests that may run at once; 0: unknown
     unsigned waiting = 0; ///< requests
-    microseconds meanServiceTime{0}; ///< us; recent mean over all kinds; 0: unknown
+    microseconds meanServiceTime{0}; ///< us; recent mean over all kinds without outliers, at least what the running requests already show; 0: unknown
     milliseconds uplinkDelay{0}; ///< ms; time the host's link needs for the large responses queued on it
     microseconds uplinkTimePerKib{0}; ///< us; time the host's link needs per KiB of a large response
     double failureRate = 0; ///< 0 to 1; recent share of requests that the target failed
@@ -77,18 +77,30 @@
     std::vector<std::pair<AdmissionId, AdmissionVerdict>> refused;
 };
 
-/// Moving average of the service time for each kind of request at one target.
+/// Moving average of the service time for each kind of request at one target. The weight of what was measured before fades with time, so
+/// that after a pause a few answers replace it: a target that was slow and then got no work is known again at once.
 class ServiceTimes
 {
 public:
-    void add(const std::string &kind, Duration service);
+    void add(TimePoint now, const std::string &kind, Duration service);
     Duration of(const std::string &kind) const; ///< for an unknown kind the mean over all kinds; 0 without any sample
     Duration mean() const;
+    /// Mean over all kinds in which a sample counts at most three times the mean of its kind: steadier than `mean`, for comparing targets.
+    /// A few requests of any kind take far longer than the others and say nothing about the target.
+    Duration typical() const;
     void reset();
 
 private:
-    std::unordered_map<std::string, double> m_meanByKind; ///< s
-    double m_mean = 0; ///< s
+    struct Mean {
+        double value = 0; ///< s
+        double samples = 0; ///< fading with time
+        TimePoint at; ///< of the newest sample
+        void add(TimePoint now, double sample);
+    };
+
+    std::unordered_map<std::string, Mean> m_meanByKind;
+    Mean m_mean;
+    Mean m_typical;
 };
 
 class AdmissionQueue
@@ -141,6 +153,7 @@
     struct RunningRequest {
         std::string kind;
         unsigned priority = 0;
+        TimePoint startedAt;
     };
     struct Share {
         double offered = 0; ///< requests, decaying
@@ -158,6 +171,7 @@
     void forgetPriority(unsigned priority);
     bool mayStart(TimePoint now) const; ///< a slot is free and the rate allows a request
     Duration slotWait(std::size_t ahead) const; ///< until a slot is free for a request with this many ahead of it
+    double reportedServiceTime(TimePoint now) const; ///< in seconds
     Duration estimatedWait(TimePoint now, std::size_t ahead) const; ///< until a request with this many ahead of it starts
     std::size_t countAhead(const QueuePosition &position) const;
     milliseconds retryAfter(TimePoint now) const;
--- a/src/mesh/loadbalancer.cpp
+++ b/src/mesh/loadbalancer.cpp
@@ -16,6 +16,9 @@
 constexpr double LateSurcharge = 1; ///< multiple of the goal; cost of missing the goal
 constexpr double UtilizationSurcharge = 0.3; ///< share of the service time; cost of a target with all slots in use
 constexpr double ColdFactor = 1.5; ///< multiple of the service time while a target is cold
+constexpr double HarmlessGoalShare = 0.5; ///< of the time to the goal; a target that is slower may make a request late that tries it
+constexpr Duration MeasurementHalfLife = milliseconds(450); ///< ms; a service time without new work counts half after this
+constexpr double MinMeasurementWeight = 0.001; ///< of an old service time, so that a mean exists while no target has work
 constexpr double BytesPerKib = 1'024;
 constexpr std::size_t MaxKinds = 1'024; ///< bounds memory; beyond this all sizes are forgotten
 constexpr std::size_t MaxLeaving = 8'192; ///< targets that said they leave; beyond this all are forgotten; above the targets of a fleet
@@ -25,6 +28,12 @@
     return kib * BytesPerKib > static_cast<double>(MaxSmallResponseBytes);
 }
 
+/// 0 to 1; how much a service time of this age says about the target now.
+double measurementWeight(Duration age)
+{
+    return std::exp2(-secondsOf(age) / secondsOf(MeasurementHalfLife));
+}
+
 } // namespace
 
 LoadBalancer::LoadBalancer(const LoadBalancerSettings &settings)
@@ -54,18 +63,29 @@
     return found.empty() ? unlinked : found;
 }
 
-double LoadBalancer::meanServiceTimeOf(const std::vector<TargetRecord> &candidates) const
+double LoadBalancer::meanServiceTimeOf(TimePoint now, const std::vector<TargetRecord> &candidates) const
 {
     double sum = 0;
-    unsigned n = 0;
+    double weights = 0;
     for (const auto &target : candidates) {
         const auto it = m_targets.find(target.id);
         if (it != m_targets.end() && it->second.report.meanServiceTime > microseconds(0)) {
-            sum += secondsOf(it->second.report.meanServiceTime);
-            ++n;
+            const double weight = std::max(MinMeasurementWeight, measurementWeight(now - it->second.measuredAt));
+            sum += weight * secondsOf(it->second.report.meanServiceTime);
+            weights += weight;
         }
     }
-    return n == 0 ? DefaultServiceSeconds : sum / n;
+    return weights == 0 ? DefaultServiceSeconds : sum / weights;
+}
+
+double LoadBalancer::serviceTimeOf(TimePoint now, const TargetRecord &target, const TargetStatistics &state, double defaultServiceTime, bool aged) const
+{
+    const double measured = secondsOf(state.report.meanServiceTime);
+    if (measured == 0) {
+        return target.coldRemaining > milliseconds(0) ? defaultServiceTime * ColdFactor : defaultServiceTime;
+    }
+    const double weight = aged && state.inFlight == 0 ? measurementWeight(now - state.measuredAt) : 1;
+    return defaultServiceTime + weight * (measured - defaultServiceTime);
 }
 
 double LoadBalancer::queueDelay(TimePoint now, const TargetRecord &target, const TargetStatistics &state, double service) const
@@ -130,15 +150,14 @@
     return goal * m_settings.crossDataCentreGoalShare + responseKib(request.kind) * secondsOf(m_settings.crossDataCentreTimePerKib);
 }
 
-double LoadBalancer::costOf(TimePoint now, const TargetRecord &target, const BalancedRequest &request, double defaultServiceTime) const
+double LoadBalancer::costOf(TimePoint now, const TargetRecord &target, const BalancedRequest &request, double defaultServiceTime, bool aged) const
 {
     static const TargetStatistics unknown;
     const auto it = m_targets.find(target.id);
     const auto &state = it == m_targets.end() ? unknown : it->second;
-    double service = state.report.meanServiceTime > microseconds(0) ? secondsOf(state.report.meanServiceTime) : defaultServiceTime;
-    if (target.coldRemaining > milliseconds(0) && state.report.meanServiceTime == microseconds(0)) {
-        service *= ColdFactor;
-    }
+    const double measured = secondsOf(state.report.meanServiceTime);
+    const bool harmless = measured < secondsOf(request.timeToGoal) * HarmlessGoalShare;
+    const double service = serviceTimeOf(now, target, state, defaultServiceTime, aged || harmless);
     const double wait = std::max(queueDelay(now, target, state, service), rateDelay(now, state));
     const double time = std::max(service + wait, linkDelay(target, request, state)) + transferTime(target, request, state.report);
     const double goal = std::max(secondsOf(request.timeToGoal), service);
@@ -161,11 +180,12 @@
         std::shuffle(options.begin(), options.end(), m_random);
         options.resize(m_settings.maxCompared);
     }
-    const auto defaultServiceTime = meanServiceTimeOf(candidates);
+    const auto defaultServiceTime = meanServiceTimeOf(now, candidates);
+    const bool aged = std::bernoulli_distribution(m_settings.sampleShare)(m_random);
     std::vector<double> costs;
     costs.reserve(options.size());
     for (const auto *target : options) {
-        costs.push_back(costOf(now, *target, request, defaultServiceTime));
+        costs.push_back(costOf(now, *target, request, defaultServiceTime, aged));
     }
     const auto cheapest = *std::min_element(costs.begin(), costs.end());
     const auto linkTolerance = isBulk(responseKib(request.kind)) ? secondsOf(request.timeToGoal) * m_settings.linkGoalTolerance : 0.0;
@@ -209,6 +229,9 @@
 void LoadBalancer::onReport(TimePoint now, const std::string &targetId, const TargetReport &report)
 {
     auto &state = m_targets[targetId];
+    if (report.meanServiceTime != state.report.meanServiceTime || report.running > 0 || report.waiting > 0) {
+        state.measuredAt = now;
+    }
     state.report = report;
     state.reportedAt = now;
     state.sentSinceReport = 0;
@@ -271,7 +294,7 @@
 milliseconds LoadBalancer::expectedWait(TimePoint now, const std::vector<TargetRecord> &candidates) const
 {
     static const TargetStatistics unknown;
-    const auto defaultServiceTime = meanServiceTimeOf(candidates);
+    const auto defaultServiceTime = meanServiceTimeOf(now, candidates);
     std::optional<double> best;
     for (const auto &target : candidates) {
         const auto it = m_targets.find(target.id);
--- a/src/mesh/loadbalancer.h
+++ b/src/mesh/loadbalancer.h
@@ -10,6 +10,10 @@
 // target. A large response waits for the host's link while the target works on it, so the longer of both counts; the draw is
 // wider for it, since a link that looks free to many entry nodes is full before the next report.
 //
+// A reported service time has an age: the time since the target's reports last showed work. A target that was slow and then got no work
+// cannot show that it has recovered. So a small share of the requests is placed by service times that approach the mean of the targets at
+// work the older they are; one such request measures the target again.
+//
 // Usage: call `onReport` for each load report from an exit node, `choose` for each request, and `onSent` and `onEnded`
 // around it.
 // Pitfall: a target without a report counts as idle, so that a new target gets requests at once.
@@ -53,6 +57,7 @@
     double costTolerance = 1.1; ///< targets within this factor of the lowest cost are candidates for the random draw
     double linkGoalTolerance
         = 0.25; ///< of the time to the goal; targets within this much of the lowest cost are candidates for a request with a large response
+    double sampleShare = 0.03; ///< of the requests; placed by aged service times
     std::size_t maxCompared = 24; ///< targets evaluated per request; a random sample if there are more
 };
 
@@ -93,6 +98,7 @@
     struct TargetStatistics {
         TargetReport report;
         TimePoint reportedAt = TimePoint::min();
+        TimePoint measuredAt = TimePoint::min(); ///< last report with a new service time or with requests running
         unsigned inFlight = 0; ///< requests of this node
         unsigned sentSinceReport = 0;
         double kibSinceReport = 0; ///< expected large responses of the requests sent since the report
@@ -105,10 +111,12 @@
     double linkDelay(const TargetRecord &target, const BalancedRequest &request, const TargetStatistics &state) const;
     double transferTime(const TargetRecord &target, const BalancedRequest &request, const TargetReport &report) const;
     double crossDataCentreSurcharge(const TargetRecord &target, const BalancedRequest &request, double goal) const;
-    double costOf(TimePoint now, const TargetRecord &target, const BalancedRequest &request, double defaultServiceTime) const;
+    /// In seconds; with `aged` as if no longer measured, the closer to the default the older it is.
+    double serviceTimeOf(TimePoint now, const TargetRecord &target, const TargetStatistics &state, double defaultServiceTime, bool aged) const;
+    double costOf(TimePoint now, const TargetRecord &target, const BalancedRequest &request, double defaultServiceTime, bool aged) const;
     double queueDelay(TimePoint now, const TargetRecord &target, const TargetStatistics &state, double service) const;
     double rateDelay(TimePoint now, const TargetStatistics &state) const;
-    double meanServiceTimeOf(const std::vector<TargetRecord> &candidates) const;
+    double meanServiceTimeOf(TimePoint now, const std::vector<TargetRecord> &candidates) const; ///< in seconds; targets without work count less
     bool hasSaidItLeaves(const TargetRecord &target) const;
     std::vector<const TargetRecord *> eligible(TimePoint now, const std::vector<TargetRecord> &candidates, const BalancedRequest &request) const;
 
