Exit node: requests that the target will not answer are detected

Cause: a target that never answers what it cannot queue kept such a request, its slot and its caller until the deadline, and got as many requests at once as before.

Change: HangDetector judges by the usual times of a kind, by whether later requests complete, and without the time in which the node was paused. Idempotent requests end early, outcome unknown, reason target-hung; others keep their time. The number of admitted requests falls to what ran and grows back.

--- a/src/forward/targetconnection.h
+++ b/src/forward/targetconnection.h
@@ -69,6 +69,11 @@
     {
         return m_events == nullptr;
     }
+    /// A valid head of the answer to the running request was received.
+    bool hasAnswerBegun() const
+    {
+        return m_answerStarted;
+    }
     /// Idle, open, and in a state that allows another request.
     bool isReusable() const;
     TimePoint idleSince() const
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -1,4 +1,4 @@
-// Sections: [limits] [request] [crash check] [stream] [admission] [connections] [target]
+// Sections: [limits] [request] [crash check] [hang detection] [stream] [admission] [connections] [target]
 #include "forward/targetdispatcher.h"
 
 #include "kernel/logging.h"
@@ -110,6 +110,17 @@
         return m_startedAt;
     }
 
+    bool hasAnswerBegun() const
+    {
+        return isRunning() && m_connection->hasAnswerBegun();
+    }
+
+    /// Ends a request that the target does not answer. It may have run.
+    void endHung()
+    {
+        abort(Reason::TargetHung);
+    }
+
     /// Ends the request without a result, because the entry side no longer needs the answer.
     void cancel()
     {
@@ -139,6 +150,9 @@
         framed += last && !m_request.bodyLength ? LastChunk : std::string_view();
         if (isRunning()) {
             m_connection->sendBody(framed, last);
+            if (last) {
+                noteSent();
+            }
         } else {
             m_pendingBody += framed;
             m_pendingBodyComplete = last;
@@ -235,6 +249,16 @@
             m_connection->sendBody(m_pendingBody, m_pendingBodyComplete);
             m_pendingBody.clear();
         }
+        if (m_request.bodyComplete || m_pendingBodyComplete) {
+            noteSent();
+        }
+    }
+
+    /// A request with a body that was not complete from the start cannot be sent to another target.
+    void noteSent()
+    {
+        const bool mayRunTwice = m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete;
+        m_dispatcher.onSent({m_id, m_request.route, mayRunTwice, m_request.deadline});
     }
 
     void endAnswered()
@@ -250,7 +274,8 @@
         end.outcome = Outcome::Ran;
         end.complete = true;
         end.offered = true;
-        finish(end, isServerError(m_status) ? Duration(0) : now - m_startedAt);
+        const bool representative = !isServerError(m_status) && !m_dispatcher.m_hangs.sawPause(now, m_id);
+        finish(end, representative ? now - m_startedAt : Duration(0));
     }
 
     void endRejected()
@@ -322,13 +347,15 @@
     {
         const auto now = m_dispatcher.m_loop.turnTime();
         m_connection->abandon();
-        if (reason == Reason::DeadlinePassed) {
+        if (reason == Reason::DeadlinePassed || reason == Reason::TargetHung) {
             m_dispatcher.recordResult(true);
         }
         ForwardEnd end;
         end.reason = reason;
         end.offered = true;
-        const auto serviceTime = reason == Reason::DeadlinePassed ? now - m_startedAt : Duration(0);
+        const bool representative = reason == Reason::DeadlinePassed && !m_dispatcher.m_hangs.isHung(m_id);
+        const auto serviceTime = representative ? now - m_startedAt : Duration(0);
+        m_dispatcher.m_hangs.onEnded(now, m_id, false);
         m_deadlineTimer.cancel();
         auto &dispatcher = m_dispatcher;
         const auto id = m_id;
@@ -345,6 +372,7 @@
     void finish(const ForwardEnd &end, Duration serviceTime)
     {
         m_deadlineTimer.cancel();
+        m_dispatcher.m_hangs.onEnded(m_dispatcher.m_loop.turnTime(), m_id, end.outcome == Outcome::Ran && !isServerError(m_status));
         m_dispatcher.removeRequest(m_id, end.outcome);
         m_dispatcher.releaseSlot(m_id, serviceTime);
         notifyEnded(end);
@@ -466,6 +494,71 @@
     }
 }
 
+// ---- [hang detection] -------------------------------------------------------------------------------------------
+
+void TargetDispatcher::onSent(const SentRequest &request)
+{
+    m_hangs.onSent(m_loop.turnTime(), request);
+    if (!m_hangTimer.isActive()) {
+        scheduleHangCheck();
+    }
+}
+
+void TargetDispatcher::scheduleHangCheck()
+{
+    const auto next = m_hangs.nextCheck();
+    if (next == TimePoint::max()) {
+        m_hangTimer.cancel();
+        return;
+    }
+    m_hangTimer.start(m_loop.timers(), next - m_loop.turnTime(), [this](TimePoint) { checkHangs(m_loop.turnTime()); });
+}
+
+void TargetDispatcher::checkHangs(TimePoint now)
+{
+    for (const auto &[id, active] : m_requests) {
+        if (active->hasAnswerBegun()) {
+            m_hangs.onAnswerBegun(id);
+        }
+    }
+    for (const auto &verdict : m_hangs.check(now)) {
+        onHung(verdict);
+    }
+    applyHangLimit();
+    scheduleHangCheck();
+}
+
+void TargetDispatcher::onHung(const HangVerdict &verdict)
+{
+    const auto it = m_requests.find(verdict.id);
+    if (it == m_requests.end()) {
+        return;
+    }
+    (verdict.end ? m_hungEnded : m_hungKept).add();
+    logEvent(LogLevel::Warning, "target_hung")
+        .with("request", it->second->request().requestId)
+        .with("target", m_targetId)
+        .with("route", it->second->request().route)
+        .with("sent_ms_ago", std::chrono::duration_cast<milliseconds>(verdict.age).count())
+        .with("usual_ms", std::chrono::duration_cast<milliseconds>(verdict.usual).count())
+        .with("others_complete", verdict.othersComplete ? 1 : 0)
+        .with("ended", verdict.end ? 1 : 0)
+        .with("running", m_queue.running())
+        .with("limit", m_hangs.limit());
+    if (verdict.end) {
+        it->second->endHung();
+    }
+}
+
+void TargetDispatcher::applyHangLimit()
+{
+    m_loop.defer([this, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired()) {
+            apply(m_queue.setHangLimit(m_loop.turnTime(), m_hangs.limit()));
+        }
+    });
+}
+
 // ---- [stream] ---------------------------------------------------------------------------------------------------
 
 class TargetDispatcher::Stream final : public ForwardStream
@@ -547,6 +640,8 @@
     , m_sent(metrics.counter("fescuenotch_target_sent_total", "Requests sent to the target, also those sent again on a new connection."))
     , m_unreadableRates(metrics.counter("fescuenotch_target_unreadable_limits_total", "Answers of the target whose limit is not a number; the last one stays."))
     , m_crashes(metrics.counter("fescuenotch_target_crashes_total", "Times that the target ended while requests ran there."))
+    , m_hungEnded(metrics.counter("fescuenotch_target_hung_total", "Requests that the target did not answer well beyond their usual time.", {{"ended", "1"}}))
+    , m_hungKept(metrics.counter("fescuenotch_target_hung_total", "Requests that the target did not answer well beyond their usual time.", {{"ended", "0"}}))
     , m_serviceTime(metrics.histogram("fescuenotch_gate_service_seconds", "From the start of a request at the target to its whole answer."))
     , m_waitTime(metrics.histogram("fescuenotch_gate_wait_seconds", "Wait of started requests for a slot."))
 {
@@ -563,6 +658,10 @@
     metrics.gauge("fescuenotch_target_limit_per_second", "Requests a second that the target names as its limit; -1: none.", {}, [this] {
         return m_statedRate.perSecond().value_or(-1);
     });
+    metrics.gauge("fescuenotch_target_hang_limit", "Requests that the target may get at once; below its slots after it hung when full.", {}, [this] {
+        return static_cast<double>(m_hangs.limit());
+    });
+    m_hangs.setSlots(InitialSlots);
     metrics.gauge("fescuenotch_gate_slots", "Slots of the target that may be used.", {}, [this] { return static_cast<double>(m_queue.limit()); });
 }
 
@@ -890,6 +989,7 @@
         m_targetStartedAtMs = target->startedAtMs;
         m_targetLeaving = false;
         m_queue.onTargetRestarted();
+        m_hangs.onTargetRestarted();
         m_statedRate.reset();
         applyRequestRate();
         m_unreadableRateLogged = false;
@@ -897,6 +997,8 @@
         m_failures = {};
         m_connectBackoffUntil = TimePoint::min();
     }
+    m_hangs.setSlots(target->slots);
+    apply(m_queue.setHangLimit(m_loop.turnTime(), m_hangs.limit()));
     apply(m_queue.resize(m_loop.turnTime(), target->slots));
 }
 
--- a/src/forward/targetdispatcher.h
+++ b/src/forward/targetdispatcher.h
@@ -15,6 +15,7 @@
 #include "kernel/metrics.h"
 #include "mesh/crashsuspects.h"
 #include "mesh/fadingshare.h"
+#include "mesh/hangdetector.h"
 #include "mesh/requestrate.h"
 #include "mesh/uplinkpacer.h"
 
@@ -88,6 +89,13 @@
     void applyRequestRate(); ///< at the end of the turn
     void logRequestRate(const ForwardRequest &request, std::optional<double> before);
     void scheduleTick();
+    /// A request was sent completely: from now on the target may hang.
+    void onSent(const SentRequest &request);
+    void checkHangs(TimePoint now);
+    void onHung(const HangVerdict &verdict);
+    void scheduleHangCheck();
+    /// Deferred, since it may start requests and this may be called while one ends.
+    void applyHangLimit();
     std::unique_ptr<TargetConnection> acquireConnection(const ForwardRequest &request);
     std::unique_ptr<TargetConnection> newConnection();
     void releaseConnection(std::unique_ptr<TargetConnection> connection);
@@ -117,6 +125,8 @@
     TimePoint m_brokenAt; ///< when the first of them broke
     std::unique_ptr<CrashCheck> m_crashCheck; ///< while one is under way
     ScopedTimer m_crashCheckTimer;
+    HangDetector m_hangs;
+    ScopedTimer m_hangTimer;
     StatedRate m_statedRate;
     TimePoint m_rateLoggedAt = TimePoint::min();
     bool m_unreadableRateLogged = false; ///< for this lifetime of the target
@@ -135,6 +145,8 @@
     Counter &m_sent;
     Counter &m_unreadableRates;
     Counter &m_crashes;
+    Counter &m_hungEnded;
+    Counter &m_hungKept;
     std::unordered_map<int, Counter *> m_refusals; ///< by Reason
     std::unordered_map<int, Counter *> m_outcomes; ///< by Outcome
     LatencyHistogram &m_serviceTime;
--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -382,6 +382,17 @@
     m_rate.onSent(now);
 }
 
+QueueChanges AdmissionQueue::setHangLimit(TimePoint now, unsigned limit)
+{
+    QueueChanges changes;
+    const bool grows = limit > m_hangLimit;
+    m_hangLimit = limit;
+    if (grows) {
+        startNext(now, changes);
+    }
+    return changes;
+}
+
 void AdmissionQueue::onTargetRestarted()
 {
     m_times.reset();
@@ -392,7 +403,7 @@
 
 unsigned AdmissionQueue::limit() const
 {
-    return std::max(1U, static_cast<unsigned>(std::lround(m_limit)));
+    return std::max(1U, std::min(m_hangLimit, static_cast<unsigned>(std::lround(m_limit))));
 }
 
 /// Counts each request that already runs longer than the mean as a sample, so that a target that becomes slow is known before its slow
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -23,6 +23,7 @@
 #include "request/types.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -125,6 +126,8 @@
     QueueChanges setRequestRate(TimePoint now, std::optional<double> perSecond);
     /// A running request was sent to the target once more.
     void onResent(TimePoint now);
+    /// Requests that the target may get at once without hanging, see mesh/hangdetector.h.
+    QueueChanges setHangLimit(TimePoint now, unsigned limit);
     void onTargetRestarted(); ///< discards service times and the reduced limit, since a new process runs at the target's address
     TargetReport report(TimePoint now) const; ///< slots, queue, service times and rate only; the dispatcher that owns the queue fills in the rest
     unsigned limit() const;
@@ -194,6 +197,7 @@
     std::size_t m_lateWaiting = 0;
     std::unordered_map<std::string, Share> m_shares; ///< by kind
     unsigned m_consecutiveRejections = 0;
+    unsigned m_hangLimit = std::numeric_limits<unsigned>::max(); ///< requests
     double m_limit; ///< effective slots; below the stated ones after rejections
 };
 
--- /dev/null
+++ b/src/mesh/hangdetector.cpp
@@ -0,0 +1,273 @@
+// Sections: [requests] [judgement] [limit]
+#include "mesh/hangdetector.h"
+
+#include "kernel/durations.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Fescuenotch {
+
+namespace {
+
+constexpr double RecentWeight = 0.1; ///< of the newest sample; follows a target that becomes slow
+constexpr double SteadyWeight = 0.02; ///< of the newest sample; a few fast answers in a row must not make the others look hung
+constexpr std::size_t MaxKinds = 1'024; ///< bounds memory; beyond this the means start over
+constexpr double SlowestDecay = 0.995; ///< per answer; the slowest of about the last hundred answers counts
+constexpr double FirstSlowest = 10; ///< multiple of the mean; assumed of a target until its answers show less
+constexpr double EarlyFactor = 1.2; ///< multiple of the slowest recent answer; the earliest end for the sake of the deadline
+constexpr double MinEarlyFactor = 8; ///< multiple of the mean service time; the same where the recent answers were all fast
+constexpr double RetryFactor = 2; ///< multiple of the mean service time; time to leave for another target
+constexpr Duration RetryTime = milliseconds(50); ///< ms; the same, in addition
+constexpr unsigned OthersComplete = 2; ///< later requests answered; a single one may have been answered before the target stopped
+constexpr double LimitDecreaseFactor = 0.7; ///< a single hang may have other causes than a full target
+constexpr Duration MinGrowTime = seconds(1); ///< s; for one request
+constexpr Duration MaxGrowTime = seconds(16); ///< s; for one request; each attempt to grow beyond what the target takes hangs a request
+constexpr Duration CountHalfLife = seconds(7); ///< s; the window of the fleet's retry budget is 10 s
+
+void addSample(double &mean, double sample, double weight)
+{
+    mean = mean == 0 ? sample : (1 - weight) * mean + weight * sample;
+}
+
+} // namespace
+
+// ---- [requests] -------------------------------------------------------------------------------------------------
+
+HangDetector::HangDetector(const HangDetectorSettings &settings)
+    : m_settings(settings)
+    , m_slowest(FirstSlowest)
+    , m_growTime(MinGrowTime)
+{
+}
+
+void HangDetector::setSlots(unsigned slots)
+{
+    m_settings.slots = std::max(1U, slots);
+}
+
+void HangDetector::onTargetRestarted()
+{
+    m_means.clear();
+    m_mean = {};
+    m_slowest = FirstSlowest;
+    m_limit.reset();
+    m_growTime = MinGrowTime;
+}
+
+void HangDetector::onSent(TimePoint now, const SentRequest &request)
+{
+    m_sent.erase(request.id); // sent again on another connection
+    decayCounts(now);
+    m_recentlySent += 1;
+    Sent sent;
+    sent.request = request;
+    sent.sentAt = now;
+    sent.ahead = static_cast<unsigned>(std::count_if(m_sent.begin(), m_sent.end(), [](const auto &each) { return !each.second.hung; }));
+    m_sent[request.id] = std::move(sent);
+    if (m_due == TimePoint::max()) {
+        m_due = now + m_settings.checkPeriod;
+    }
+}
+
+void HangDetector::onEnded(TimePoint now, AdmissionId id, bool answered)
+{
+    const auto node = m_sent.extract(id);
+    if (node.empty()) {
+        return;
+    }
+    const auto &sent = node.mapped();
+    if (answered) {
+        for (auto &[otherId, other] : m_sent) {
+            other.answeredSince += other.sentAt <= sent.sentAt ? 1 : 0;
+        }
+    }
+    if (answered && !sent.sawPause && !isLate(now)) {
+        const double mean = meanOf(sent.request.kind);
+        const double ratio = mean == 0 ? 0 : secondsOf(now - sent.sentAt) / mean;
+        m_slowest = std::max(m_slowest * SlowestDecay, std::min(ratio, m_settings.maxFactor));
+        addServiceTime(sent.request.kind, secondsOf(now - sent.sentAt));
+    }
+    growLimit(now);
+    if (m_sent.empty()) {
+        m_due = TimePoint::max();
+    }
+}
+
+void HangDetector::onAnswerBegun(AdmissionId id)
+{
+    const auto it = m_sent.find(id);
+    if (it != m_sent.end()) {
+        it->second.answerBegun = true;
+    }
+}
+
+bool HangDetector::isHung(AdmissionId id) const
+{
+    const auto it = m_sent.find(id);
+    return it != m_sent.end() && it->second.hung;
+}
+
+bool HangDetector::sawPause(TimePoint now, AdmissionId id) const
+{
+    const auto it = m_sent.find(id);
+    return it != m_sent.end() && (it->second.sawPause || isLate(now));
+}
+
+// ---- [judgement] ------------------------------------------------------------------------------------------------
+
+TimePoint HangDetector::nextCheck() const
+{
+    return m_due;
+}
+
+bool HangDetector::isLate(TimePoint now) const
+{
+    return m_due != TimePoint::max() && now > m_due + m_settings.maxLateness;
+}
+
+void HangDetector::skipPause(TimePoint now)
+{
+    for (auto &[id, sent] : m_sent) {
+        sent.sentAt += now - m_due;
+        sent.sawPause = true;
+    }
+}
+
+double HangDetector::meanOf(const std::string &kind) const
+{
+    const auto it = m_means.find(kind);
+    const auto &mean = it == m_means.end() ? m_mean : it->second;
+    return std::max(mean.recent, mean.steady);
+}
+
+void HangDetector::addServiceTime(const std::string &kind, double service)
+{
+    if (m_means.size() > MaxKinds) {
+        m_means.clear();
+    }
+    for (auto *mean : {&m_means[kind], &m_mean}) {
+        addSample(mean->recent, service, RecentWeight);
+        addSample(mean->steady, service, SteadyWeight);
+    }
+}
+
+std::vector<HangVerdict> HangDetector::check(TimePoint now)
+{
+    std::vector<HangVerdict> verdicts;
+    if (m_sent.empty()) {
+        m_due = TimePoint::max();
+        return verdicts;
+    }
+    const auto lateness = now - m_due;
+    if (isLate(now)) {
+        skipPause(now);
+    }
+    m_due = now + m_settings.checkPeriod;
+    // After a pause the answers that arrived meanwhile are read first; the next check judges. A busy host is always a little late.
+    if (lateness >= m_settings.checkPeriod) {
+        return verdicts;
+    }
+    decayCounts(now);
+    growLimit(now);
+    std::vector<Sent *> hung;
+    for (auto &[id, sent] : m_sent) {
+        if (!sent.hung && isHangTime(now, sent)) {
+            hung.push_back(&sent);
+        }
+    }
+    std::sort(hung.begin(), hung.end(), [](const Sent *a, const Sent *b) { return a->sentAt < b->sentAt; });
+    for (auto *sent : hung) {
+        verdicts.push_back(judge(now, *sent));
+    }
+    return verdicts;
+}
+
+bool HangDetector::isHangTime(TimePoint now, const Sent &sent) const
+{
+    const auto age = now - sent.sentAt;
+    if (sent.answerBegun || age < m_settings.minTime) {
+        return false;
+    }
+    const double mean = meanOf(sent.request.kind);
+    const auto latest = sent.request.deadline - RetryTime - durationOf(RetryFactor * mean);
+    if (mean == 0) {
+        return age >= m_settings.unknownTime;
+    }
+    const bool othersComplete = sent.answeredSince >= OthersComplete;
+    const double usual = std::clamp(m_settings.slowestFactor * m_slowest, m_settings.minFactor, m_settings.maxFactor);
+    const double factor = othersComplete ? usual : m_settings.maxFactor;
+    const double early = std::max(MinEarlyFactor, EarlyFactor * m_slowest);
+    return secondsOf(age) >= mean * factor || (now + m_settings.checkPeriod > latest && secondsOf(age) >= mean * early);
+}
+
+HangVerdict HangDetector::judge(TimePoint now, Sent &sent)
+{
+    HangVerdict verdict;
+    verdict.id = sent.request.id;
+    verdict.othersComplete = sent.answeredSince >= OthersComplete;
+    verdict.age = now - sent.sentAt;
+    verdict.usual = durationOf(meanOf(sent.request.kind));
+    verdict.end = sent.request.mayRunTwice && mayEnd();
+    sent.hung = true;
+    for (auto &[id, other] : m_sent) {
+        other.ahead -= other.sentAt > sent.sentAt && other.ahead > 0 ? 1 : 0;
+    }
+    if (verdict.othersComplete) {
+        lowerLimit(now, sent);
+    }
+    return verdict;
+}
+
+bool HangDetector::mayEnd()
+{
+    if (m_recentlyEnded + 1 > m_settings.endedShare * m_recentlySent + m_settings.endedSlack) {
+        return false;
+    }
+    m_recentlyEnded += 1;
+    return true;
+}
+
+void HangDetector::decayCounts(TimePoint now)
+{
+    const double factor = std::exp2(-secondsOf(now - m_countedAt) / secondsOf(CountHalfLife));
+    m_recentlySent *= factor;
+    m_recentlyEnded *= factor;
+    m_countedAt = now;
+}
+
+// ---- [limit] ----------------------------------------------------------------------------------------------------
+
+unsigned HangDetector::limit() const
+{
+    return m_limit ? std::max(1U, static_cast<unsigned>(*m_limit)) : m_settings.slots;
+}
+
+/// Requests that were sent before the limit last fell say nothing about the lower one.
+void HangDetector::lowerLimit(TimePoint now, const Sent &sent)
+{
+    if (sent.sentAt < m_loweredAt) {
+        return;
+    }
+    const double before = m_limit.value_or(m_settings.slots);
+    const double held = std::max<double>(sent.ahead, before * LimitDecreaseFactor);
+    m_limit = std::max(1.0, std::min(before, held));
+    m_growTime = m_loweredAt == TimePoint::min() ? MinGrowTime : std::min(MaxGrowTime, 2 * m_growTime);
+    m_loweredAt = now;
+    m_grownAt = now;
+}
+
+void HangDetector::growLimit(TimePoint now)
+{
+    if (!m_limit) {
+        return;
+    }
+    *m_limit += secondsOf(now - m_grownAt) / secondsOf(m_growTime);
+    m_grownAt = now;
+    if (*m_limit >= m_settings.slots) {
+        m_limit.reset();
+        m_growTime = MinGrowTime;
+    }
+}
+
+} // namespace Fescuenotch
--- /dev/null
+++ b/src/mesh/hangdetector.h
@@ -0,0 +1,124 @@
+// Hang detection at the exit node: decides whether a request at the target will never be answered, what to do with it, and how many
+// requests the target may get at once.
+//
+// Some targets never answer a request that they cannot queue, nor anything further on its connection. Without detection such a request
+// occupies a slot until its deadline, when no time is left for another target.
+//
+// A request is taken for hung when it has no answer well beyond the usual time of its kind:
+// - while others complete: beyond a multiple of the mean that follows the slowest recent answers, so that heavy tails (3 in 100 take
+//   7 times as long) and slow phases are not hangs. A target that becomes slow raises the mean by the answers that still come.
+// - while none completes since it was sent: beyond the highest such multiple, since a target that stops for a moment goes on with all of
+//   its requests, and ending them all costs a retry for each.
+// - earlier, but beyond anything seen lately, if otherwise no time is left to try another target before the deadline.
+//
+// A hung request that may run twice is ended; it may have run. Any other keeps its whole time. The number of ended requests is a small
+// share of those sent, since each costs the fleet a retry.
+//
+// A hang while others complete means that the target was full: the limit falls below the number of requests that it had then, by at most
+// LimitDecreaseFactor at once, and grows back; the slower the more often it fell. The target may have had other work at that time (requests
+// from before the node started, health probes, requests that were cancelled), which the growth allows for.
+//
+// Time in which the node itself was paused, seen from a late check, is not counted for any request.
+//
+// Usage: `onSent` once a request was sent completely, `onAnswerBegun` and `onEnded` when it ends, `check` at `nextCheck`, `limit` after both.
+#pragma once
+
+#include "kernel/clock.h"
+#include "mesh/admissionqueue.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Fescuenotch {
+
+struct HangDetectorSettings {
+    unsigned slots = 1; ///< requests that may run at once, as stated by the target
+    Duration checkPeriod = milliseconds(50); ///< ms
+    Duration maxLateness = milliseconds(20); ///< ms; a check that is later shows a pause of the node
+    Duration minTime = milliseconds(250); ///< ms; no request is taken for hung earlier
+    Duration unknownTime = seconds(1); ///< s; a request is taken for hung after this while the target has answered nothing yet
+    double minFactor = 20; ///< multiple of the mean service time; lowest that is taken for hung while others complete
+    double maxFactor = 30; ///< multiple of the mean service time; highest; the one while no request completes
+    double slowestFactor = 1.75; ///< multiple of the slowest recent answer, itself a multiple of the mean service time
+    double endedShare = 0.1; ///< of the sent requests; so many may be ended
+    double endedSlack = 4; ///< requests that may be ended beyond the share
+};
+
+struct SentRequest {
+    AdmissionId id = 0;
+    std::string kind; ///< name of the route
+    bool mayRunTwice = false; ///< idempotent, so that another target may get it
+    TimePoint deadline;
+};
+
+struct HangVerdict {
+    AdmissionId id = 0;
+    bool end = false; ///< end the request, outcome unknown; else it keeps its time
+    bool othersComplete = false; ///< the target answers other requests, so it was full
+    Duration age{0}; ///< since it was sent, without pauses
+    Duration usual{0}; ///< mean service time of its kind
+};
+
+class HangDetector
+{
+public:
+    explicit HangDetector(const HangDetectorSettings &settings = {});
+    void setSlots(unsigned slots);
+    void onSent(TimePoint now, const SentRequest &request);
+    /// `answered` is whether the target answered it; else nothing is measured.
+    void onEnded(TimePoint now, AdmissionId id, bool answered);
+    void onAnswerBegun(AdmissionId id); ///< it is not taken for hung any more
+    /// Each request is named at most once.
+    std::vector<HangVerdict> check(TimePoint now);
+    TimePoint nextCheck() const; ///< TimePoint::max() while no request runs
+    bool isHung(AdmissionId id) const;
+    /// Whether the node was paused while the request ran, so that its time says nothing about the target.
+    bool sawPause(TimePoint now, AdmissionId id) const;
+    unsigned limit() const; ///< requests that the target may get at once
+    void onTargetRestarted();
+
+private:
+    struct Sent {
+        SentRequest request;
+        TimePoint sentAt; ///< plus the time in which the node was paused
+        unsigned ahead = 0; ///< requests that ran when it was sent, without hung ones
+        unsigned answeredSince = 0; ///< requests that were sent after it and answered
+        bool hung = false;
+        bool answerBegun = false;
+        bool sawPause = false;
+    };
+
+    bool isLate(TimePoint now) const;
+    void skipPause(TimePoint now);
+    struct Mean {
+        double recent = 0; ///< s
+        double steady = 0; ///< s; over about the last hundred answers
+    };
+
+    void addServiceTime(const std::string &kind, double service);
+    double meanOf(const std::string &kind) const; ///< in seconds, the higher of both; 0: unknown
+    bool isHangTime(TimePoint now, const Sent &sent) const;
+    HangVerdict judge(TimePoint now, Sent &sent);
+    bool mayEnd();
+    void lowerLimit(TimePoint now, const Sent &sent);
+    void growLimit(TimePoint now);
+    void decayCounts(TimePoint now);
+
+    HangDetectorSettings m_settings;
+    std::unordered_map<AdmissionId, Sent> m_sent; ///< by id
+    std::unordered_map<std::string, Mean> m_means; ///< by kind
+    Mean m_mean; ///< over all kinds
+    double m_slowest; ///< multiple of the mean; of recent answers
+    TimePoint m_due = TimePoint::max(); ///< time of the next check
+    std::optional<double> m_limit; ///< none: not lowered
+    TimePoint m_loweredAt = TimePoint::min();
+    TimePoint m_grownAt; ///< last time that the limit was raised
+    Duration m_growTime; ///< for one request
+    double m_recentlySent = 0; ///< requests, decaying
+    double m_recentlyEnded = 0; ///< hung requests that were ended, decaying
+    TimePoint m_countedAt; ///< the two counts are as of this time
+};
+
+} // namespace Fescuenotch
--- a/src/request/types.cpp
+++ b/src/request/types.cpp
@@ -38,6 +38,7 @@
     ReasonText{Reason::Quarantined, "quarantined", "do not send it again; targets that ran the same request ended"},
     ReasonText{Reason::Evacuated, "evacuated", "retry after the time in Retry-After; delete the evacuation of a data centre that has targets of the service"},
     ReasonText{Reason::TargetCold, "target-cold", "retry after the time in Retry-After; the target has just started and takes few requests"},
+    ReasonText{Reason::TargetHung, "target-hung", "check whether the request took effect before it is sent again; lower the slots that the target states"},
 };
 
 constexpr bool matchesEnumOrder()
--- a/src/request/types.h
+++ b/src/request/types.h
@@ -46,6 +46,7 @@
     Quarantined, ///< requests like this one have crashed the targets that ran them
     Evacuated, ///< the data centre of the targets is evacuated
     TargetCold, ///< the target is cold and takes only so many requests a second
+    TargetHung, ///< the target did not answer the request well beyond its usual time
 };
 const char *reasonName(Reason reason); ///< "no-profile", "queue-full", ...
 const char *reasonRemedy(Reason reason); ///< one sentence of advice for the caller
