--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -1,4 +1,4 @@
-// Sections: [limits] [request] [crash check] [cold target] [stream] [admission] [connections] [target]
+// Sections: [limits] [request] [crash check] [cold target] [hang detection] [stream] [admission] [connections] [target]
 #include "forward/targetdispatcher.h"
 
 #include "kernel/logging.h"
@@ -114,6 +114,17 @@
         return m_startedAt;
     }
 
+    bool hasAnswerBegun() const
+    {
+        return isRunning() && m_connection->hasAnswerBegun();
+    }
+
+    /// Ends a request that the target does not answer. It may have run.
+    void endHung()
+    {
+        abort(Reason::TargetHung);
+    }
+
     /// Ends the request without a result, because the entry side no longer needs the answer.
     void cancel()
     {
@@ -143,6 +154,9 @@
         framed += last && !m_request.bodyLength ? LastChunk : std::string_view();
         if (isRunning()) {
             m_connection->sendBody(framed, last);
+            if (last) {
+                noteSent();
+            }
         } else {
             m_pendingBody += framed;
             m_pendingBodyComplete = last;
@@ -239,6 +253,16 @@
             m_connection->sendBody(m_pendingBody, m_pendingBodyComplete);
             m_pendingBody.clear();
         }
+        if (m_request.bodyComplete || m_pendingBodyComplete) {
+            noteSent();
+        }
+    }
+
+    /// A request with a body that was not complete from the start cannot be sent to another target.
+    void noteSent()
+    {
+        const bool mayRunTwice = m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete;
+        m_dispatcher.onSent({m_id, m_request.route, mayRunTwice, m_request.deadline});
     }
 
     void endAnswered()
@@ -255,7 +279,8 @@
         end.outcome = Outcome::Ran;
         end.complete = true;
         end.offered = true;
-        finish(end, isServerError(m_status) ? Duration(0) : now - m_startedAt);
+        const bool representative = !isServerError(m_status) && !m_dispatcher.m_hangs.sawPause(now, m_id);
+        finish(end, representative ? now - m_startedAt : Duration(0));
     }
 
     void endRejected()
@@ -328,13 +353,15 @@
     {
         const auto now = m_dispatcher.m_loop.turnTime();
         m_connection->abandon();
-        if (reason == Reason::DeadlinePassed) {
+        if (reason == Reason::DeadlinePassed || reason == Reason::TargetHung) {
             m_dispatcher.recordResult(true);
         }
         ForwardEnd end;
         end.reason = reason;
         end.offered = true;
-        const auto serviceTime = reason == Reason::DeadlinePassed ? now - m_startedAt : Duration(0);
+        const bool representative = reason == Reason::DeadlinePassed && !m_dispatcher.m_hangs.isHung(m_id);
+        const auto serviceTime = representative ? now - m_startedAt : Duration(0);
+        m_dispatcher.m_hangs.onEnded(now, m_id, false);
         m_deadlineTimer.cancel();
         auto &dispatcher = m_dispatcher;
         const auto id = m_id;
@@ -351,6 +378,7 @@
     void finish(const ForwardEnd &end, Duration serviceTime)
     {
         m_deadlineTimer.cancel();
+        m_dispatcher.m_hangs.onEnded(m_dispatcher.m_loop.turnTime(), m_id, end.outcome == Outcome::Ran && !isServerError(m_status));
         m_dispatcher.removeRequest(m_id, end.outcome);
         m_dispatcher.releaseSlot(m_id, serviceTime);
         notifyEnded(end);
@@ -657,6 +685,71 @@
     updateColdness();
 }
 
+// ---- [hang detection] -------------------------------------------------------------------------------------------
+
+void TargetDispatcher::onSent(const SentRequest &request)
+{
+    m_hangs.onSent(m_loop.turnTime(), request);
+    if (!m_hangTimer.isActive()) {
+        scheduleHangCheck();
+    }
+}
+
+void TargetDispatcher::scheduleHangCheck()
+{
+    const auto next = m_hangs.nextCheck();
+    if (next == TimePoint::max()) {
+        m_hangTimer.cancel();
+        return;
+    }
+    m_hangTimer.start(m_loop.timers(), next - m_loop.turnTime(), [this](TimePoint) { checkHangs(m_loop.turnTime()); });
+}
+
+void TargetDispatcher::checkHangs(TimePoint now)
+{
+    for (const auto &[id, active] : m_requests) {
+        if (active->hasAnswerBegun()) {
+            m_hangs.onAnswerBegun(id);
+        }
+    }
+    for (const auto &verdict : m_hangs.check(now)) {
+        onHung(verdict);
+    }
+    applyHangLimit();
+    scheduleHangCheck();
+}
+
+void TargetDispatcher::onHung(const HangVerdict &verdict)
+{
+    const auto it = m_requests.find(verdict.id);
+    if (it == m_requests.end()) {
+        return;
+    }
+    (verdict.end ? m_hungEnded : m_hungKept).add();
+    logEvent(LogLevel::Warning, "target_hung")
+        .with("request", it->second->request().requestId)
+        .with("target", m_targetId)
+        .with("route", it->second->request().route)
+        .with("sent_ms_ago", std::chrono::duration_cast<milliseconds>(verdict.age).count())
+        .with("usual_ms", std::chrono::duration_cast<milliseconds>(verdict.usual).count())
+        .with("others_complete", verdict.othersComplete ? 1 : 0)
+        .with("ended", verdict.end ? 1 : 0)
+        .with("running", m_queue.running())
+        .with("limit", m_hangs.limit());
+    if (verdict.end) {
+        it->second->endHung();
+    }
+}
+
+void TargetDispatcher::applyHangLimit()
+{
+    m_loop.defer([this, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired()) {
+            apply(m_queue.setHangLimit(m_loop.turnTime(), m_hangs.limit()));
+        }
+    });
+}
+
 // ---- [stream] ---------------------------------------------------------------------------------------------------
 
 class TargetDispatcher::Stream final : public ForwardStream
@@ -740,6 +833,8 @@
     , m_crashes(metrics.counter("fescuenotch_target_crashes_total", "Times that the target ended while requests ran there."))
     , m_coldDelayed(metrics.counter("fescuenotch_target_cold_delayed_total", "Requests that waited while the target was cold."))
     , m_healthProbes(metrics.counter("fescuenotch_target_health_probes_total", "Health probes sent to the target, to learn whether it is cold."))
+    , m_hungEnded(metrics.counter("fescuenotch_target_hung_total", "Requests that the target did not answer well beyond their usual time.", {{"ended", "1"}}))
+    , m_hungKept(metrics.counter("fescuenotch_target_hung_total", "Requests that the target did not answer well beyond their usual time.", {{"ended", "0"}}))
     , m_serviceTime(metrics.histogram("fescuenotch_gate_service_seconds", "From the start of a request at the target to its whole answer."))
     , m_waitTime(metrics.histogram("fescuenotch_gate_wait_seconds", "Wait of started requests for a slot."))
 {
@@ -759,6 +854,10 @@
     metrics.gauge("fescuenotch_target_cold_per_second", "Requests a second that the target takes while it is cold; -1: it is not cold.", {}, [this] {
         return coldRate().value_or(-1);
     });
+    metrics.gauge("fescuenotch_target_hang_limit", "Requests that the target may get at once; below its slots after it hung when full.", {}, [this] {
+        return static_cast<double>(m_hangs.limit());
+    });
+    m_hangs.setSlots(InitialSlots);
     metrics.gauge("fescuenotch_gate_slots", "Slots of the target that may be used.", {}, [this] { return static_cast<double>(m_queue.limit()); });
 }
 
@@ -1096,6 +1195,7 @@
         m_targetStartedAtMs = target->startedAtMs;
         m_targetLeaving = false;
         m_queue.onTargetRestarted();
+        m_hangs.onTargetRestarted();
         m_statedRate.reset();
         if (m_cold.isEnabled()) {
             m_queue.restartRequestRate(m_loop.turnTime());
@@ -1108,6 +1208,8 @@
     }
     m_cold.onEntry(m_loop.turnTime(), *target);
     updateColdness();
+    m_hangs.setSlots(target->slots);
+    apply(m_queue.setHangLimit(m_loop.turnTime(), m_hangs.limit()));
     apply(m_queue.resize(m_loop.turnTime(), target->slots));
 }
 
--- a/src/forward/targetdispatcher.h
+++ b/src/forward/targetdispatcher.h
@@ -19,6 +19,7 @@
 #include "mesh/coldstart.h"
 #include "mesh/crashsuspects.h"
 #include "mesh/fadingshare.h"
+#include "mesh/hangdetector.h"
 #include "mesh/requestrate.h"
 #include "mesh/uplinkpacer.h"
 
@@ -114,6 +115,13 @@
     void endHealthProbe(std::optional<milliseconds> remaining, const std::string &detail); ///< none: failed
     void logRequestRate(const ForwardRequest &request, std::optional<double> before);
     void scheduleTick();
+    /// A request was sent completely: from now on the target may hang.
+    void onSent(const SentRequest &request);
+    void checkHangs(TimePoint now);
+    void onHung(const HangVerdict &verdict);
+    void scheduleHangCheck();
+    /// Deferred, since it may start requests and this may be called while one ends.
+    void applyHangLimit();
     std::unique_ptr<TargetConnection> acquireConnection(const ForwardRequest &request);
     std::unique_ptr<TargetConnection> newConnection();
     void releaseConnection(std::unique_ptr<TargetConnection> connection);
@@ -144,6 +152,8 @@
     TimePoint m_brokenAt; ///< when the first of them broke
     std::unique_ptr<CrashCheck> m_crashCheck; ///< while one is under way
     ScopedTimer m_crashCheckTimer;
+    HangDetector m_hangs;
+    ScopedTimer m_hangTimer;
     StatedRate m_statedRate;
     ColdStart m_cold;
     std::string m_healthPath; ///< of the target's service; empty: none
@@ -169,6 +179,8 @@
     Counter &m_crashes;
     Counter &m_coldDelayed;
     Counter &m_healthProbes;
+    Counter &m_hungEnded;
+    Counter &m_hungKept;
     std::unordered_map<int, Counter *> m_refusals; ///< by Reason
     std::unordered_map<int, Counter *> m_outcomes; ///< by Outcome
     LatencyHistogram &m_serviceTime;
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -23,6 +23,7 @@
 #include "request/types.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -47,7 +48,7 @@
     unsigned running = 0; ///< requests
     unsigned limit = 0; ///< requests that may run at once; 0: unknown
     unsigned waiting = 0; ///< requests
-    microseconds meanServiceTime{0}; ///< us; recent mean over all kinds; 0: unknown
+    microseconds meanServiceTime{0}; ///< us; recent mean over all kinds without outliers, at least what the running requests already show; 0: unknown
     milliseconds uplinkDelay{0}; ///< ms; time the host's link needs for the large responses queued on it
     microseconds uplinkTimePerKib{0}; ///< us; time the host's link needs per KiB of a large response
     double failureRate = 0; ///< 0 to 1; recent share of requests that the target failed
@@ -77,18 +78,30 @@
     std::vector<std::pair<AdmissionId, AdmissionVerdict>> refused;
 };
 
-/// Moving average of the service time for each kind of request at one target.
+/// Moving average of the service time for each kind of request at one target. The weight of what was measured before fades with time, so
+/// that after a pause a few answers replace it: a target that was slow and then got no work is known again at once.
 class ServiceTimes
 {
 public:
-    void add(const std::string &kind, Duration service);
+    void add(TimePoint now, const std::string &kind, Duration service);
     Duration of(const std::string &kind) const; ///< for an unknown kind the mean over all kinds; 0 without any sample
     Duration mean() const;
+    /// Mean over all kinds in which a sample counts at most three times the mean of its kind: steadier than `mean`, for comparing targets.
+    /// A few requests of any kind take far longer than the others and say nothing about the target.
+    Duration typical() const;
     void reset();
 
 private:
-    std::unordered_map<std::string, double> m_meanByKind; ///< s
-    double m_mean = 0; ///< s
+    struct Mean {
+        double value = 0; ///< s
+        double samples = 0; ///< fading with time
+        TimePoint at; ///< of the newest sample
+        void add(TimePoint now, double sample);
+    };
+
+    std::unordered_map<std::string, Mean> m_meanByKind;
+    Mean m_mean;
+    Mean m_typical;
 };
 
 class AdmissionQueue
@@ -119,6 +132,8 @@
     void restartRequestRate(TimePoint now);
     /// A running request was sent to the target once more, or a health probe.
     void onResent(TimePoint now);
+    /// Requests that the target may get at once without hanging, see mesh/hangdetector.h.
+    QueueChanges setHangLimit(TimePoint now, unsigned limit);
     void onTargetRestarted(); ///< discards service times and the reduced limit, since a new process runs at the target's address
     TargetReport report(TimePoint now) const; ///< slots, queue, service times and rate only; the dispatcher that owns the queue fills in the rest
     unsigned limit() const;
@@ -147,6 +162,7 @@
     struct RunningRequest {
         std::string kind;
         unsigned priority = 0;
+        TimePoint startedAt;
     };
     struct Share {
         double offered = 0; ///< requests, decaying
@@ -164,6 +180,7 @@
     void forgetPriority(unsigned priority);
     bool mayStart(TimePoint now) const; ///< a slot is free and the rate allows a request
     Duration slotWait(std::size_t ahead) const; ///< until a slot is free for a request with this many ahead of it
+    double reportedServiceTime(TimePoint now) const; ///< in seconds
     Duration estimatedWait(TimePoint now, std::size_t ahead) const; ///< until a request with this many ahead of it starts
     std::size_t countAhead(const QueuePosition &position) const;
     milliseconds retryAfter(TimePoint now) const;
@@ -187,6 +204,7 @@
     std::size_t m_lateWaiting = 0;
     std::unordered_map<std::string, Share> m_shares; ///< by kind
     unsigned m_consecutiveRejections = 0;
+    unsigned m_hangLimit = std::numeric_limits<unsigned>::max(); ///< requests
     double m_limit; ///< effective slots; below the stated ones after rejections
 };
 
