Links: long answers keep their deadlines while the link carries all

Cause: the shortest answer always went first, so a long one could wait behind shorter ones until its deadline had passed. Admission added the time of the link's queue to that of the target's work, although the link sends meanwhile.

Change: while the backlog is at most 800 ms and all deadlines can be kept, an answer goes first only if it leaves earlier deadlines 200 ms of slack. Admission counts what is left of the queue after the target's work. The entry node takes the delay on its own link off goal and deadline of requests with large answers.

--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -180,6 +180,13 @@
 
 // ---- [attempts] -------------------------------------------------------------------------------------------------
 
+/// Time that a large answer waits for this host's own link on its way to the caller.
+Duration EntryRequest::transferOnOwnLink() const
+{
+    const bool isLarge = m_context.loadBalancer.expectedResponseBytes(m_route->name) > MaxSmallResponseBytes;
+    return isLarge ? m_context.dependencies().links->uplink().backlogDelay(m_context.now()) : Duration(0);
+}
+
 ForwardRequest EntryRequest::forwardRequest() const
 {
     ForwardRequest request;
@@ -192,8 +199,9 @@
     request.headers = m_headers;
     request.kind = m_route->kind;
     request.priority = m_route->priority;
-    request.deadline = m_deadline;
-    request.goal = m_goal;
+    const auto onOwnLink = transferOnOwnLink();
+    request.deadline = m_deadline - onOwnLink;
+    request.goal = m_goal - onOwnLink;
     request.bodyLength = m_head.chunked ? std::nullopt : m_head.length;
     request.body = m_body;
     request.bodyComplete = m_bodyComplete;
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -61,6 +61,7 @@
     bool hasForwardedAnswer() const; ///< at least a part of the target's answer was written
     void prepareHeaders();
     void startAttempt();
+    Duration transferOnOwnLink() const;
     ForwardRequest forwardRequest() const;
     bool refuseIfQuarantined(); ///< returns whether it did
     bool mayCrashTheNextTarget(const DeliveryResult &end) const;
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -699,7 +699,9 @@
     if (!large || !request.fromPeer || m_uplink == nullptr) {
         return Duration(0);
     }
-    return uplinkDelay() + m_uplink->timeFor(static_cast<std::size_t>(it->second));
+    // The link sends what is queued while the target works.
+    const auto wait = std::max(Duration(0), Duration(uplinkDelay() - m_queue.report(m_loop.turnTime()).meanServiceTime));
+    return wait + m_uplink->timeFor(static_cast<std::size_t>(it->second));
 }
 
 void TargetDispatcher::setUplink(const UplinkPacer &pacer, std::function<std::size_t()> backlog)
--- a/src/forward/targetdispatcher.h
+++ b/src/forward/targetdispatcher.h
@@ -62,7 +62,8 @@
     /// Time that the host's link needs for the large answers that are queued for it, and for those that running and queued
     /// requests of peers are expected to get.
     Duration uplinkDelay() const;
-    /// `uplinkDelay` plus the time for the expected answer to `request`; zero for small answers and for own callers.
+    /// Time that the expected answer to `request` needs after the target's work: what is left of `uplinkDelay` then, plus its own transfer.
+    /// Zero for small answers and for own callers.
     Duration answerTransferTime(const ForwardRequest &request) const;
     void recordAnswerSize(const std::string &route, std::size_t bytes);
     /// Why a request cannot be queued; Reason::None if it can.
--- a/src/mesh/answerorder.cpp
+++ b/src/mesh/answerorder.cpp
@@ -51,6 +51,29 @@
     return kept;
 }
 
+/// Of `order`, answers by deadline that can each be sent in time, those that may go first without making another one late. All of them
+/// if the link cannot send all in time, or if more than `MaxGuardedBacklog` is queued.
+std::vector<std::size_t> allowedNext(TimePoint now, const std::vector<PendingAnswer> &answers, const std::vector<std::size_t> &order, const UplinkPacer &link)
+{
+    std::size_t bytes = 0;
+    auto allowed = order.size();
+    for (std::size_t n = 0; n < order.size(); ++n) {
+        const auto &answer = answers[order[n]];
+        bytes += answer.remaining;
+        const auto slack = answer.deadline - now - link.timeFor(bytes);
+        if (slack < Duration(0)) {
+            return order;
+        }
+        if (slack < MinGuardedSlack) {
+            allowed = std::min(allowed, n + 1);
+        }
+    }
+    if (link.timeFor(bytes) > MaxGuardedBacklog) {
+        return order;
+    }
+    return {order.begin(), order.begin() + static_cast<std::ptrdiff_t>(allowed)};
+}
+
 } // namespace
 
 std::vector<std::size_t> answersInTime(TimePoint now, const std::vector<PendingAnswer> &answers, const UplinkPacer &link)
@@ -71,7 +94,7 @@
     }
     auto candidates = indicesByDeadline(answers);
     std::erase_if(candidates, [&](std::size_t n) { return now + link.timeFor(answers[n].remaining) > answers[n].deadline; });
-    return shortestOf(answers, candidates.empty() ? indicesByDeadline(answers) : candidates);
+    return shortestOf(answers, candidates.empty() ? indicesByDeadline(answers) : allowedNext(now, answers, candidates, link));
 }
 
 } // namespace Fescuenotch
--- a/src/mesh/loadbalancer.cpp
+++ b/src/mesh/loadbalancer.cpp
@@ -101,6 +101,11 @@
     return size == m_responseKib.end() ? 0 : size->second;
 }
 
+std::size_t LoadBalancer::expectedResponseBytes(const std::string &kind) const
+{
+    return static_cast<std::size_t>(responseKib(kind) * BytesPerKib);
+}
+
 /// In seconds, until the link has sent the large responses that are ahead of this request's.
 double LoadBalancer::linkDelay(const TargetRecord &target, const BalancedRequest &request, const TargetStatistics &state) const
 {
--- a/src/mesh/loadbalancer.h
+++ b/src/mesh/loadbalancer.h
@@ -75,6 +75,7 @@
     void onReport(TimePoint now, const std::string &targetId, const TargetReport &report);
     /// Response size of a kind of request; large responses are charged for their transfer.
     void onResponseSize(const std::string &kind, std::size_t bytes);
+    std::size_t expectedResponseBytes(const std::string &kind) const; ///< 0: not known
     /// Requests per second that the target accepts from all nodes, as last reported; none: not limited or not known.
     std::optional<double> requestRateOf(const std::string &targetId) const;
     /// The target said in an answer that it is about to end: this lifetime of it gets no further request from this node,
--- a/tests/mesh/answerorder_test.cpp
+++ b/tests/mesh/answerorder_test.cpp
@@ -97,6 +97,34 @@
     BOOST_TEST(countInTime() == 20U);
 }
 
+/// Guards against a long answer that starves behind a stream of shorter ones although the link carries all in time.
+BOOST_AUTO_TEST_CASE(longAnswer_shorterOnesKeepComing_isSentByItsDeadline)
+{
+    add(500, seconds(4));
+    std::size_t late = 0;
+    auto nextArrival = Start;
+    for (auto now = Start; now < Start + seconds(8);) {
+        if (nextArrival <= now) { // nine tenths of the link
+            answers.push_back({81 * Kilobyte, now + seconds(4), false});
+            nextArrival += milliseconds(100);
+        }
+        const auto n = nextAnswer(now, answers, link);
+        if (!n) {
+            now = nextArrival;
+            continue;
+        }
+        const auto sent = std::min(Piece, answers[*n].remaining);
+        now += link.timeFor(sent);
+        answers[*n].remaining -= sent;
+        if (answers[*n].remaining == 0) {
+            late += now > answers[*n].deadline ? 1 : 0;
+            answers.erase(answers.begin() + static_cast<std::ptrdiff_t>(*n));
+        }
+    }
+    BOOST_TEST(late == 0U);
+    BOOST_TEST(answers.size() <= 3U);
+}
+
 /// Answers that no stopping node waits for are not reordered by their deadlines: under overload all would come near them, none by its
 /// latency goal.
 BOOST_AUTO_TEST_CASE(load_aFifthMoreThanTheLink_mostAreWithinTheirGoals)
--- a/tests/mesh/uplinkpacer_test.cpp
+++ b/tests/mesh/uplinkpacer_test.cpp
@@ -62,4 +62,28 @@
     BOOST_TEST(pacer.maySend(now));
 }
 
+/// Guards against answers to peers that stop for a minute because 300 callers that read slowly were given 256 KB each: those bytes wait in
+/// send buffers and do not occupy the link.
+BOOST_AUTO_TEST_CASE(otherTraffic_farBeyondTheLink_holdsLargeResponsesBackBriefly)
+{
+    UplinkPacer pacer(10);
+    const auto now = TimePoint(seconds(100));
+    for (int n = 0; n < 300; ++n) {
+        pacer.onSent(now, 256 * 1024);
+    }
+    BOOST_TEST((pacer.nextAt(now) - now <= milliseconds(250)));
+    BOOST_TEST(!pacer.maySend(now));
+}
+
+BOOST_AUTO_TEST_CASE(backlogDelay_afterBurst_endsWithTheTimeOfTheLink)
+{
+    UplinkPacer pacer(10);
+    const auto now = TimePoint(seconds(100));
+    BOOST_TEST((pacer.backlogDelay(now) == Duration(0)));
+    pacer.onSent(now, 32 * 1024 + 112'500); // the burst that is free, and 0.1 s of the link
+    BOOST_TEST((pacer.backlogDelay(now) > milliseconds(95)));
+    BOOST_TEST((pacer.backlogDelay(now) < milliseconds(105)));
+    BOOST_TEST((pacer.backlogDelay(now + milliseconds(110)) == Duration(0)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
