Memory: one budget of buffered bytes for each node

Cause: what a node held for callers and peers that read slowly had no common bound. 300 callers that read 1 KB/s of 800 KB answers brought the process to 212 MB on a host of 160 MB.

Change: src/mesh/memorybudget.h counts what is held for callers, peers and the target, 0.15 of memory_mb at most. Under pressure stream windows shrink, requests whose answers do not fit are refused before they run (reason memory-full), and answers that are not read or read slowest are broken off visibly. The kernel holds at most 128 KB of unsent output for a caller, and empty buffers give their memory back.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -17,6 +17,8 @@
 /// ms; after the last answer, input is read and discarded for this long. Closing with unread input would send a reset, which can
 /// make the caller lose the answer.
 constexpr milliseconds LingerTimeout{1'000};
+/// 128 KB unsent in the kernel keep a fast link busy; the rest of an answer that is read slowly is counted by the MemoryBudget.
+constexpr StreamOptions CallerStreamOptions{milliseconds(1'000), milliseconds(4'000), 128 * 1024};
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool expectsContinue(const MessageHead &head)
@@ -32,12 +34,22 @@
 public:
     Connection(CallerHttpServer &server, int fd)
         : m_server(server)
-        , m_tcp(TcpStream::adopt(server.m_context.loop(), fd, *this))
+        , m_tcp(TcpStream::adopt(server.m_context.loop(), fd, *this, CallerStreamOptions))
         , m_reader(MessageReader::Kind::Request, messageLimits())
         , m_idleSince(now())
+        , m_account(*server.m_context.dependencies().memory, MemoryBudget::Holder::Caller, now(), [this] { dropForMemory(); })
     {
     }
 
+    void updateMemoryAccount()
+    {
+        std::size_t held = m_tcp->pendingBytes();
+        for (const auto &each : m_requests) {
+            held += each->pendingBody.size() + (each->hasRequest() ? each->request().heldBytes() : 0);
+        }
+        m_account.update(now(), held, m_writtenBytes - m_tcp->pendingBytes(), m_tcp->pendingBytes() > 0);
+    }
+
     /// Counts a finished answer as in flight until its bytes have been written to the socket.
     std::size_t requestsInFlight() const
     {
@@ -113,6 +125,7 @@
     void onDrained() override
     {
         flush();
+        updateMemoryAccount();
         for (const auto &each : m_requests) {
             if (each->hasRequest()) {
                 each->request().onAnswerBacklogReduced();
@@ -331,6 +344,9 @@
             refuse(*refusal);
             return false;
         }
+        if (const auto *id = findHeader(head.headers, m_server.m_context.dependencies().adapter->headers().requestId)) {
+            m_lastRequestId = *id;
+        }
         m_closeAfterLast = m_closeAfterLast || !head.keepAlive;
         m_server.m_lastRequestAt = now();
         if (expectsContinue(head) && m_requests.empty() && m_tcp->input().empty()) {
@@ -433,6 +449,25 @@
 
     // Output.
 
+    /// The connection is reset, so that the caller sees that its answer is incomplete.
+    void dropForMemory()
+    {
+        logEvent(LogLevel::Warning, "answer_dropped")
+            .with("request", m_lastRequestId)
+            .with("holder", MemoryBudget::holderName(MemoryBudget::Holder::Caller))
+            .with("unsent_bytes", m_tcp->pendingBytes())
+            .with("sent_bytes", m_writtenBytes - m_tcp->pendingBytes())
+            .with("requests", m_requests.size())
+            .with("remedy", "read answers faster, or give the host more memory");
+        for (const auto &each : m_requests) {
+            if (each->hasRequest()) {
+                each->request().onCallerDisconnected();
+            }
+        }
+        m_tcp->reset();
+        m_server.remove(*this);
+    }
+
     /// Writes the available part of the first answer in the queue. Each finished answer is removed, and the next one follows.
     void flush()
     {
@@ -455,10 +490,11 @@
             m_closing = m_closing || (!head.empty() && closes) || (front.headFormatted() && front.endsConnection());
             m_inputEnded = m_inputEnded || m_closing;
             m_tcp->write(front.pendingBody);
+            m_writtenBytes += head.size() + front.pendingBody.size();
             if (!head.empty() || !front.pendingBody.empty()) {
                 m_server.m_context.dependencies().links->recordOtherTraffic(head.size() + front.pendingBody.size());
             }
-            front.pendingBody.clear();
+            std::string().swap(front.pendingBody); // also frees its memory
             const bool stillReceives = m_receiving == m_requests.front().get();
             if (!front.isFinished() || stillReceives) {
                 break;
@@ -466,6 +502,7 @@
             removeFront();
         }
         m_flushing = false;
+        updateMemoryAccount();
     }
 
     void removeFront()
@@ -499,6 +536,9 @@
     bool m_closing = false; ///< an answer with `Connection: close`, or one delimited by the close, has begun
     bool m_flushing = false;
     bool m_used = false; ///< input was received
+    std::string m_lastRequestId;
+    std::uint64_t m_writtenBytes = 0; ///< since the connection was accepted
+    MemoryBudget::Account m_account;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
@@ -590,8 +630,16 @@
     }
 }
 
+void CallerHttpServer::updateMemoryAccounts()
+{
+    for (const auto &[key, connection] : m_connections) {
+        connection->updateMemoryAccount();
+    }
+}
+
 void CallerHttpServer::checkTimeouts(TimePoint now)
 {
+    updateMemoryAccounts();
     for (auto *connection : connections()) {
         connection->checkTimeouts(now);
     }
--- a/src/forward/callerhttpserver.h
+++ b/src/forward/callerhttpserver.h
@@ -31,6 +31,8 @@
     /// those that have not carried a request yet: their first one may be on the way, and its caller is owed an answer.
     void stopAccepting();
     std::size_t requestsInFlight() const;
+    /// Updates the memory accounts of all connections. Call it from time to time and before MemoryBudget::enforce.
+    void updateMemoryAccounts();
     /// Logs a line for each request that the end of the process cuts.
     void logUnanswered() const;
     /// Closes connections that have no request and no unsent output.
--- a/src/forward/entrycontext.h
+++ b/src/forward/entrycontext.h
@@ -15,6 +15,7 @@
 #include "forward/types.h"
 #include "kernel/metrics.h"
 #include "mesh/loadbalancer.h"
+#include "mesh/memorybudget.h"
 #include "mesh/meshretrypolicy.h"
 #include "mesh/requestage.h"
 #include "mesh/routes.h"
@@ -33,6 +34,7 @@
     Forwarder *localForwarder = nullptr; ///< forwards to the target on this host, without a link
     PeerLinks *links = nullptr;
     CrashSuspects *crashSuspects = nullptr;
+    MemoryBudget *memory = nullptr;
     std::uint64_t seed = 0;
 };
 
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds MinRetryAfter{50}; ///< ms
 constexpr milliseconds NoConfigurationRetryAfter{500}; ///< ms; a new node has a configuration after about this time
 constexpr milliseconds QuarantineRetryAfter{10'000}; ///< ms; a target may answer the next probe by then
+constexpr milliseconds MemoryFullRetryAfter{1'000}; ///< ms; answers that are being read free their memory in about this time
 constexpr unsigned FirstServerError = 500;
 
 std::optional<milliseconds> parseRemainingTime(const std::string *text)
@@ -226,9 +227,22 @@
     return true;
 }
 
+bool EntryRequest::refuseIfMemoryIsFull()
+{
+    const auto expected = m_context.loadBalancer.expectedResponseBytes(m_route->name);
+    if (m_attempted || m_context.dependencies().memory->admits(m_context.now(), expected)) {
+        return false;
+    }
+    DeliveryResult end;
+    end.outcome = Outcome::NotRun;
+    end.reason = Reason::MemoryFull;
+    failRequest(end, MemoryFullRetryAfter);
+    return true;
+}
+
 void EntryRequest::startAttempt()
 {
-    if (refuseIfQuarantined()) {
+    if (refuseIfQuarantined() || refuseIfMemoryIsFull()) {
         return;
     }
     const auto now = m_context.now();
@@ -321,7 +335,7 @@
 
 void EntryRequest::onAnswerBacklogReduced()
 {
-    if (m_uncreditedBytes > 0 && m_stream && m_writer.answerBacklog() < StreamWindow) {
+    if (m_uncreditedBytes > 0 && m_stream && m_writer.answerBacklog() < m_context.dependencies().memory->streamWindow(StreamWindow)) {
         m_stream->grantCredit(m_uncreditedBytes);
         m_uncreditedBytes = 0;
     }
@@ -461,6 +475,11 @@
     finish(0);
 }
 
+std::size_t EntryRequest::heldBytes() const
+{
+    return m_body.size() + m_heldBody.size();
+}
+
 void EntryRequest::logUnanswered() const
 {
     logEvent(LogLevel::Warning, "cut_by_exit")
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -46,6 +46,7 @@
     void shortenDeadline(); ///< to that of the EntryContext, if it is earlier
     /// Cancels the running attempt; nothing is written to the AnswerWriter afterwards.
     void onCallerDisconnected();
+    std::size_t heldBytes() const; ///< of the request's body and of an answer that is not passed on yet
     void logUnanswered() const; ///< for a request that the end of the process cuts
 
 private:
@@ -64,6 +65,7 @@
     Duration transferOnOwnLink() const;
     ForwardRequest forwardRequest() const;
     bool refuseIfQuarantined(); ///< returns whether it did
+    bool refuseIfMemoryIsFull(); ///< returns whether it did; only before the first attempt
     bool mayCrashTheNextTarget(const DeliveryResult &end) const;
     bool retryOnServerError(unsigned status);
     void handleFailure(const DeliveryResult &end, milliseconds retryAfter);
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -9,6 +9,7 @@
 #include <sys/stat.h>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <set>
 
@@ -134,12 +135,17 @@
     });
 
     m_worker = std::make_unique<Worker>(m_loop);
+    m_memory = std::make_unique<MemoryBudget>(m_settings.memoryBytes);
+    m_memory->setOnExceeded([this] { m_loop.defer([this] { enforceMemoryBudget(); }); });
+    addMemoryMetrics();
     m_dispatcher = std::make_unique<TargetDispatcher>(m_loop, m_settings, *m_adapter, metrics);
+    m_dispatcher->setMemoryBudget(*m_memory);
     m_dispatcher->setCrashEvents([this](const std::vector<CrashSuspect> &suspects) { onTargetCrashed(suspects); },
                                  [this](Fingerprint fingerprint) { onRequestAnswered(fingerprint); });
     m_state = std::make_unique<StateExchange>(*m_worker, m_settings, m_targets, *this, metrics);
     m_links = std::make_unique<PeerLinks>(
         m_loop, LinkIdentity{m_settings.host, m_settings.dataCentre, m_incarnation}, m_settings.linkMbps, *m_dispatcher, *this, metrics);
+    m_links->setMemoryBudget(*m_memory);
     m_state->setLinks(*m_links);
     m_dispatcher->setUplink(m_links->uplink(), [this] { return m_links->uplinkBacklog(); });
     EntryDependencies dependencies;
@@ -151,6 +157,7 @@
     dependencies.localForwarder = m_dispatcher.get();
     dependencies.links = m_links.get();
     dependencies.crashSuspects = &m_crashSuspects;
+    dependencies.memory = m_memory.get();
     dependencies.seed = m_incarnation;
     m_entry = std::make_unique<EntryContext>(dependencies);
     m_callerServer = std::make_unique<CallerHttpServer>(*m_entry, metrics);
@@ -162,6 +169,51 @@
     m_store = std::make_unique<StoreClient>(m_loop, *m_worker, m_settings.store, *m_adapter, store, *this, metrics);
 }
 
+void MeshNode::addMemoryMetrics()
+{
+    const auto *help = "Bytes that are buffered for receivers, and for the target.";
+    for (const auto holder : {MemoryBudget::Holder::Caller, MemoryBudget::Holder::Peer, MemoryBudget::Holder::Target}) {
+        m_metrics->gauge("fescuenotch_memory_buffered_bytes", help, {{"holder", MemoryBudget::holderName(holder)}}, [this, holder] {
+            return static_cast<double>(m_memory->usedBy(holder));
+        });
+    }
+    m_metrics->gauge(
+        "fescuenotch_memory_budget_bytes", "Bytes that may be buffered; 0: no limit.", {}, [this] { return static_cast<double>(m_memory->limit()); });
+    const auto dropped = [this](MemoryBudget::Holder holder) {
+        return &m_metrics->counter("fescuenotch_memory_dropped_answers_total",
+                                   "Answers that were dropped because the budget for buffered bytes was used up.",
+                                   {{"holder", MemoryBudget::holderName(holder)}});
+    };
+    m_droppedForCallers = dropped(MemoryBudget::Holder::Caller);
+    m_droppedForPeers = dropped(MemoryBudget::Holder::Peer);
+}
+
+void MeshNode::enforceMemoryBudget()
+{
+    m_callerServer->updateMemoryAccounts();
+    const auto used = m_memory->used();
+    const auto dropped = m_memory->enforce(m_loop.turnTime());
+    if (dropped.empty()) {
+        return;
+    }
+    std::size_t bytes = 0;
+    auto shortestStall = Duration::max();
+    double highestRate = 0;
+    for (const auto &each : dropped) {
+        (each.holder == MemoryBudget::Holder::Caller ? m_droppedForCallers : m_droppedForPeers)->add();
+        bytes += each.bytes;
+        shortestStall = std::min(shortestStall, each.stalled);
+        highestRate = std::max(highestRate, each.rate);
+    }
+    logEvent(LogLevel::Warning, "memory_exceeded")
+        .with("used_bytes", used)
+        .with("budget_bytes", m_memory->limit())
+        .with("dropped", dropped.size())
+        .with("dropped_bytes", bytes)
+        .with("shortest_stall_ms", std::chrono::duration_cast<milliseconds>(shortestStall).count())
+        .with("highest_bytes_per_second", std::lround(highestRate));
+}
+
 Result<void> MeshNode::listen()
 {
     addPages();
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -75,6 +75,10 @@
     void onRequestAnswered(Fingerprint fingerprint);
     void applyCrashNews(const CrashNews &news, const std::string &source);
 
+    // Memory.
+    void addMemoryMetrics();
+    void enforceMemoryBudget();
+
     // Settings and stop.
     bool settingsFileChanged();
     void readChangedSettings();
@@ -117,6 +121,7 @@
     std::pair<std::uint64_t, std::size_t> m_selectedPeersFor{0, 0}; ///< generation of the targets, number of requested services
     bool m_hasTargets = false; ///< a complete list of targets was received, from the store or from a peer
 
+    std::unique_ptr<MemoryBudget> m_memory; ///< destroyed after all that have accounts in it
     std::unique_ptr<TargetDispatcher> m_dispatcher;
     std::unique_ptr<PeerLinks> m_links;
     std::unique_ptr<EntryContext> m_entry;
@@ -136,6 +141,8 @@
     Counter *m_configurationsApplied = nullptr;
     Counter *m_configurationsRefused = nullptr;
     Counter *m_unreadableEntries = nullptr;
+    Counter *m_droppedForCallers = nullptr;
+    Counter *m_droppedForPeers = nullptr;
 };
 
 } // namespace Fescuenotch
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -507,6 +507,7 @@
         void onAnswerBody(std::string_view bytes) override
         {
             pendingAnswer.append(bytes);
+            updateMemoryAccount();
             isLarge = isLarge || pendingAnswer.size() > MaxSmallResponseBytes;
             m_link.sendPendingAnswers();
         }
@@ -532,6 +533,16 @@
         std::string pendingAnswer; ///< answer bytes not sent yet
         bool isLarge = false; ///< paced, together with the other large answers, to the bandwidth of the host's link
         std::size_t answerCredit = StreamWindow; ///< bytes of the answer that the entry node accepts now
+        /// Blocked while the entry node grants no credit, because its caller reads slowly. Waiting for this host's link is not.
+        void updateMemoryAccount()
+        {
+            if (account) {
+                account->update(m_link.m_links.m_loop.turnTime(), pendingAnswer.size(), sentBytes, answerCredit == 0 && !pendingAnswer.empty());
+            }
+        }
+
+        std::optional<MemoryBudget::Account> account;
+        std::uint64_t sentBytes = 0; ///< bytes of the answer
         std::size_t ungrantedBodyBytes = 0; ///< bytes of the request's body that were received and for which no new credit was granted yet
         std::optional<ForwardEnd> ended;
 
@@ -616,6 +627,9 @@
         m_lastExchangeAt = now;
         auto &exchange = *m_exchanges.insert_or_assign(id, std::make_unique<Exchange>(*this, id)).first->second;
         auto request = decodeOpen(open, now, m_offset.transitTime(open.sent_at(), now));
+        if (m_links.m_memory != nullptr) {
+            exchange.account.emplace(*m_links.m_memory, MemoryBudget::Holder::Peer, now, [this, id] { dropForMemory(id); });
+        }
         exchange.deadline = request.deadline;
         exchange.entryStops = request.entryStops;
         exchange.stream = m_links.m_forwarder.open(std::move(request), exchange);
@@ -651,10 +665,31 @@
         const auto it = m_exchanges.find(credit.stream());
         if (it != m_exchanges.end()) {
             it->second->answerCredit += credit.bytes();
+            it->second->updateMemoryAccount();
             sendPendingAnswers();
         }
     }
 
+    /// The entry node gets an end without a complete answer, so it breaks the answer to its caller, or tries another target.
+    void dropForMemory(std::uint64_t id)
+    {
+        auto node = m_exchanges.extract(id);
+        if (node.empty()) {
+            return;
+        }
+        logEvent(LogLevel::Warning, "answer_dropped")
+            .with("peer", m_peer.host)
+            .with("holder", MemoryBudget::holderName(MemoryBudget::Holder::Peer))
+            .with("unsent_bytes", node.mapped()->pendingAnswer.size())
+            .with("sent_bytes", node.mapped()->sentBytes)
+            .with("remedy", "read answers faster, or give the host more memory");
+        ForwardEnd end;
+        end.reason = Reason::MemoryFull;
+        end.offered = true;
+        write(encodeEnded(id, end));
+        m_links.m_loop.destroyLater(std::move(node.mapped()));
+    }
+
     using Exchanges = std::map<std::uint64_t, std::unique_ptr<Exchange>>;
 
     bool hasBufferSpace() const
@@ -704,6 +739,8 @@
         write(encodeAnswerBody(id, std::string_view(exchange.pendingAnswer).substr(0, n)));
         exchange.pendingAnswer.erase(0, n);
         exchange.answerCredit -= n;
+        exchange.sentBytes += n;
+        exchange.updateMemoryAccount();
         if (!exchange.ended) {
             exchange.stream->grantCredit(n);
         }
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -22,6 +22,7 @@
 #include "kernel/metrics.h"
 #include "loop/tcpstream.h"
 #include "mesh/answerorder.h"
+#include "mesh/memorybudget.h"
 
 #include <map>
 #include <optional>
@@ -82,6 +83,11 @@
     {
         return m_pacer;
     }
+    /// Counts answers that are held for peers in `budget`. Call it before `listen`.
+    void setMemoryBudget(MemoryBudget &budget)
+    {
+        m_memory = &budget;
+    }
     /// Counts bytes that other connections send over this host's link, so that large answers are paced around them.
     void recordOtherTraffic(std::size_t bytes);
     /// Answers to peers that are not completely sent. A link whose last answer ended less than `UplinkFlushTime` ago counts as
@@ -122,6 +128,7 @@
     UplinkPacer m_pacer;
     ScopedTimer m_pacerTimer; ///< runs while large answers wait for bandwidth
     bool m_sendingLargeAnswers = false;
+    MemoryBudget *m_memory = nullptr;
     TimePoint m_latestDeadline = TimePoint::max(); ///< of all answers; set when this node stops
 
     Counter &m_opened;
--- a/src/forward/targetconnection.cpp
+++ b/src/forward/targetconnection.cpp
@@ -47,6 +47,20 @@
 {
 }
 
+void TargetConnection::accountTo(MemoryBudget &budget)
+{
+    m_account.emplace(budget, MemoryBudget::Holder::Target, m_loop.turnTime());
+}
+
+/// Never blocked in the sense of the budget: the target's answers wait for this node.
+void TargetConnection::updateMemoryAccount()
+{
+    if (m_account) {
+        const auto held = m_bufferedBody.size() + m_stream->input().size() + m_stream->pendingBytes();
+        m_account->update(m_loop.turnTime(), held, 0, false);
+    }
+}
+
 // ---- [sending] --------------------------------------------------------------------------------------------------
 
 void TargetConnection::send(const ForwardRequest &request, const std::string &head, TargetConnectionEvents &events)
@@ -79,6 +93,7 @@
 {
     m_stream->write(bytes);
     m_bodySent = last;
+    updateMemoryAccount();
 }
 
 std::size_t TargetConnection::pendingBytes() const
@@ -117,7 +132,11 @@
         m_onIdleClosed(*this);
         return;
     }
+    const auto guard = std::weak_ptr(m_alive);
     readAnswer();
+    if (!guard.expired()) {
+        updateMemoryAccount();
+    }
 }
 
 void TargetConnection::readAnswer()
@@ -256,6 +275,7 @@
     m_reusable = false;
     m_events = nullptr;
     m_stream->reset();
+    m_account.reset();
 }
 
 void TargetConnection::end(ExchangeResult::Kind kind, const std::string &detail)
--- a/src/forward/targetconnection.h
+++ b/src/forward/targetconnection.h
@@ -20,6 +20,7 @@
 #include "forward/types.h"
 #include "http1/messagereader.h"
 #include "loop/tcpstream.h"
+#include "mesh/memorybudget.h"
 
 namespace Fescuenotch {
 
@@ -55,6 +56,8 @@
     /// `onIdleClosed` is called when the connection ends while no request is running on it.
     TargetConnection(EventLoop &loop, const Endpoint &target, const PlatformHeaderNames &headers, std::function<void(TargetConnection &)> onIdleClosed);
 
+    /// Counts what this connection holds in `budget`: parts of answers, and of requests that the target has not read.
+    void accountTo(MemoryBudget &budget);
     /// Sends `head` and the first bytes of the request's body. Allowed only while the connection is idle.
     void send(const ForwardRequest &request, const std::string &head, TargetConnectionEvents &events);
     /// Sends more of the body. The bytes must already have chunk framing if the length of the body is unknown.
@@ -86,6 +89,7 @@
     void onInput() override;
     void onDrained() override;
     void onClosed(CloseCause cause) override;
+    void updateMemoryAccount();
     void readAnswer();
     void startHeadTimer();
     void startHeadGraceTimer();
@@ -113,6 +117,7 @@
     Duration m_idleTime{0}; ///< idle time before the running request
     TimePoint m_idleSince;
     Duration m_advertisedIdleTimeout = Duration::max();
+    std::optional<MemoryBudget::Account> m_account;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< detects destruction of this object inside a callback
 };
 
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -59,7 +59,8 @@
                                              Reason::TargetShed,
                                              Reason::WrongHost,
                                              Reason::Cancelled,
-                                             Reason::TargetLimit};
+                                             Reason::TargetLimit,
+                                             Reason::MemoryFull};
     return reasons;
 }
 
@@ -153,7 +154,7 @@
     void grantCredit(std::size_t bytes)
     {
         m_unacknowledgedBytes -= std::min(bytes, m_unacknowledgedBytes);
-        if (isRunning() && m_unacknowledgedBytes < StreamWindow) {
+        if (isRunning() && m_unacknowledgedBytes < m_dispatcher.streamWindow()) {
             m_connection->resumeAnswer();
         }
     }
@@ -194,7 +195,7 @@
         }
         m_unacknowledgedBytes += bytes.size();
         m_answerBytes += bytes.size();
-        if (m_unacknowledgedBytes >= StreamWindow) {
+        if (m_unacknowledgedBytes >= m_dispatcher.streamWindow()) {
             m_connection->pauseAnswer();
         }
         m_listener->onAnswerBody(bytes);
@@ -586,9 +587,27 @@
     if (!m_wrongHostTargetId.empty() && request.targetId == m_wrongHostTargetId) {
         return Reason::WrongHost;
     }
+    if (!fitsInMemory(request)) {
+        return Reason::MemoryFull;
+    }
     return request.targetId.empty() ? Reason::NoTarget : Reason::None;
 }
 
+/// The entry node decides for its own callers.
+bool TargetDispatcher::fitsInMemory(const ForwardRequest &request) const
+{
+    if (m_memory == nullptr || !request.fromPeer) {
+        return true;
+    }
+    const auto it = m_meanAnswerBytes.find(request.route);
+    return m_memory->admits(m_loop.turnTime(), it == m_meanAnswerBytes.end() ? 0 : static_cast<std::size_t>(it->second));
+}
+
+std::size_t TargetDispatcher::streamWindow() const
+{
+    return m_memory == nullptr ? StreamWindow : m_memory->streamWindow(StreamWindow);
+}
+
 std::unique_ptr<ForwardStream> TargetDispatcher::open(ForwardRequest request, ForwardListener &listener)
 {
     if (request.targetRequestRate && request.targetId == m_targetId) {
@@ -826,7 +845,12 @@
 std::unique_ptr<TargetConnection> TargetDispatcher::newConnection()
 {
     m_connections.add();
-    return std::make_unique<TargetConnection>(m_loop, m_settings.targetAddress, m_adapter.headers(), [this](TargetConnection &c) { removeIdleConnection(c); });
+    auto connection
+        = std::make_unique<TargetConnection>(m_loop, m_settings.targetAddress, m_adapter.headers(), [this](TargetConnection &c) { removeIdleConnection(c); });
+    if (m_memory != nullptr) {
+        connection->accountTo(*m_memory);
+    }
+    return connection;
 }
 
 void TargetDispatcher::releaseConnection(std::unique_ptr<TargetConnection> connection)
--- a/src/forward/targetdispatcher.h
+++ b/src/forward/targetdispatcher.h
@@ -42,6 +42,11 @@
     /// `onCrash` gets the requests that ran when the target ended, `onAnswered` that of each request that
     /// the target answered.
     void setCrashEvents(std::function<void(const std::vector<CrashSuspect> &)> onCrash, std::function<void(Fingerprint)> onAnswered);
+    /// Counts what is held of the target's answers in `budget`, and refuses requests of peers whose answers do not fit.
+    void setMemoryBudget(MemoryBudget &budget)
+    {
+        m_memory = &budget;
+    }
     const std::string &targetId() const
     {
         return m_targetId;
@@ -65,6 +70,8 @@
     /// Time that the expected answer to `request` needs after the target's work: what is left of `uplinkDelay` then, plus its own transfer.
     /// Zero for small answers and for own callers.
     Duration answerTransferTime(const ForwardRequest &request) const;
+    std::size_t streamWindow() const; ///< bytes of an answer that may be unread by the entry side
+    bool fitsInMemory(const ForwardRequest &request) const;
     void recordAnswerSize(const std::string &route, std::size_t bytes);
     /// Why a request cannot be queued; Reason::None if it can.
     Reason refusalReason(const ForwardRequest &request) const;
@@ -111,6 +118,7 @@
     unsigned m_refusedSinceLog = 0;
     FadingShare m_failures;
     const UplinkPacer *m_uplink = nullptr;
+    MemoryBudget *m_memory = nullptr;
     std::function<std::size_t()> m_uplinkBacklog;
     std::function<void(const std::vector<CrashSuspect> &)> m_onCrash;
     std::function<void(Fingerprint)> m_onAnswered;
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -25,6 +25,16 @@
 constexpr milliseconds AcceptRetryDelay{100}; ///< ms; delay until accepting is retried when there are no free file descriptors
 constexpr int KeepAliveProbes = 2; ///< unanswered keep-alive probes that end a connection
 
+constexpr std::size_t KeptCapacityBytes = 65'536; ///< bytes; an empty buffer keeps no more memory than this
+
+/// Connections stay open for long, so their buffers must not keep the size of the largest message.
+void releaseIfEmpty(std::string &buffer)
+{
+    if (buffer.empty() && buffer.capacity() > KeptCapacityBytes) {
+        std::string().swap(buffer);
+    }
+}
+
 // ---- [socket options] -------------------------------------------------------------------------------------------
 
 void setIntOption(int fd, int level, int name, int value)
@@ -42,6 +52,9 @@
     setIntOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, interval);
     setIntOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
     setIntOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.unresponsiveTimeout.count()));
+    if (options.maxUnsentBytes > 0) {
+        setIntOption(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, options.maxUnsentBytes);
+    }
 }
 
 } // namespace
@@ -198,6 +211,9 @@
     if (m_input.size() > before) {
         m_events.onInput();
     }
+    if (!alive.expired()) {
+        releaseIfEmpty(m_input);
+    }
     if (ended && !alive.expired() && m_fd >= 0) {
         closeAndNotify(cause);
     }
@@ -265,6 +281,7 @@
     }
     if (pendingBytes() == 0) {
         m_output.clear();
+        releaseIfEmpty(m_output);
         m_sentBytes = 0;
         if (m_shutdownWhenSent && m_fd >= 0) {
             ::shutdown(m_fd, SHUT_WR);
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -43,6 +43,7 @@
 struct StreamOptions {
     milliseconds connectTimeout{1'000}; ///< ms; for outgoing connections
     milliseconds unresponsiveTimeout{4'000}; ///< ms; closes the connection when data or keep-alive probes stay unacknowledged this long
+    int maxUnsentBytes = 0; ///< bytes of output that the kernel holds beyond what is in flight; the rest stays in `pendingBytes`. 0: no limit
 };
 
 class TcpStream final : public SocketWatcher
--- a/src/request/types.cpp
+++ b/src/request/types.cpp
@@ -38,6 +38,7 @@
     ReasonText{Reason::Quarantined, "quarantined", "do not send it again; targets that ran the same request ended"},
     ReasonText{Reason::Evacuated, "evacuated", "retry after the time in Retry-After; delete the evacuation of a data centre that has targets of the service"},
     ReasonText{Reason::TargetCold, "target-cold", "retry after the time in Retry-After; the target has just started and takes few requests"},
+    ReasonText{Reason::MemoryFull, "memory-full", "retry after the time in Retry-After; callers read their answers too slowly, or the host needs more memory"},
 };
 
 constexpr bool matchesEnumOrder()
--- a/src/request/types.h
+++ b/src/request/types.h
@@ -46,6 +46,7 @@
     Quarantined, ///< requests like this one have crashed the targets that ran them
     Evacuated, ///< the data centre of the targets is evacuated
     TargetCold, ///< the target is cold and takes only so many requests a second
+    MemoryFull, ///< the node's budget for buffered bytes is used up
 };
 const char *reasonName(Reason reason); ///< "no-profile", "queue-full", ...
 const char *reasonRemedy(Reason reason); ///< one sentence of advice for the caller
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -212,6 +212,7 @@
     s.healthListen = {address, HealthPort};
     s.store = store.endpoint();
     s.linkMbps = linkMbps;
+    s.memoryBytes = memoryBytes;
     s.stopLimit = seconds(3);
     s.stopAnnouncement = milliseconds(50);
     m_hosts.push_back(std::move(host));
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -69,6 +69,7 @@
     /// Adds a host whose target ends when it runs a request with `crashText` in it, and is back after `downFor`.
     void addCrashingNode(const std::string &service, const std::string &crashText, milliseconds downFor, std::function<void()> onCrash);
     double linkMbps = 1'000; ///< Mbit/s; link speed of the hosts added afterwards
+    std::uint64_t memoryBytes = 0; ///< bytes; memory limit of the hosts added afterwards; 0: none
     /// Publishes a configuration for host "desk": /read/ (idempotent) to `readService`, /file/ (non-idempotent) to "desk",
     /// /feed/ (download) to "feed".
     void publish(std::uint64_t version, const std::string &readService = "desk", milliseconds timeout = seconds(2));
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -204,6 +204,36 @@
     BOOST_TEST(contains(get(0, "/feed/small"), "200 OK"));
 }
 
+/// Guards against an exit node that runs out of memory because callers of other nodes do not read, and against a dropped answer that looks
+/// complete to its caller.
+BOOST_AUTO_TEST_CASE(answers_peersCallersDoNotRead_someAreBrokenVisiblyAndOthersAreServed)
+{
+    constexpr std::size_t AnswerBytes = 900'000;
+    constexpr std::size_t StalledCallers = 6;
+    addNode("desk");
+    memoryBytes = 10'000'000; // 1.5 MB may be buffered
+    addNode("feed");
+    target(1).setBehaviour([this](const Standins::ServerCall &call) { return target(1).validReply(call, std::string(AnswerBytes, 'x')); });
+    publish(1, "desk", seconds(8));
+    waitReady();
+    std::vector<RawSocket> stalled;
+    for (std::size_t n = 0; n < StalledCallers; ++n) {
+        stalled.push_back(RawSocket::connectTo(callerEndpoint(0), 4'096));
+        stalled.back().send(request("GET", "/feed/list", "stalled-" + std::to_string(n)));
+    }
+    const std::string dropped = "fescuenotch_memory_dropped_answers_total{holder=\"peer\"}";
+    BOOST_TEST(waitUntil([&] { return std::atoi(metric(1, dropped).c_str()) >= 1; }));
+    std::this_thread::sleep_for(milliseconds(700)); // those that are left are seen to be stalled
+    BOOST_TEST(isComplete(get(0, "/feed/list")));
+    std::size_t complete = 0;
+    for (auto &socket : stalled) {
+        const auto answer = socket.receiveAll(milliseconds(500));
+        complete += answer.size() > AnswerBytes ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE("complete " << complete << ", dropped " << metric(1, dropped));
+    BOOST_TEST(complete < StalledCallers);
+}
+
 // ---- [callers] --------------------------------------------------------------------------------------------------
 
 BOOST_AUTO_TEST_CASE(pipelinedRequests_firstIsSlow_runConcurrentlyAndAreAnsweredInOrder)
--- a/tests/support/nodeprocess.cpp
+++ b/tests/support/nodeprocess.cpp
@@ -154,17 +154,20 @@
 std::string NodeProcess::settingsText(const std::string &service) const
 {
     const auto at = [&](std::uint16_t port) { return toString(Endpoint{m_place.listenAddress, port}); };
-    const nlohmann::json json{{"node_name", m_place.name},
-                              {"ip", m_place.address},
-                              {"zone", m_place.dataCentre},
-                              {"region", "land"},
-                              {"zones", {{m_place.dataCentre, "land"}}},
-                              {"service", service},
-                              {"app_addr", toString(targetEndpoint())},
-                              {"listen_addrs", {{"inbound", at(PeerPort)}, {"outbound", at(CallerPort)}, {"readiness_addr", at(HealthPort)}}},
-                              {"heartbeat", "500ms"},
-                              {"bounds", {{"grace", std::to_string(m_place.stopLimit.count()) + "ms"}}},
-                              {"platform", {{"address", toString(m_place.store)}, {"reads_per_s", 2'000}}}};
+    nlohmann::json json{{"node_name", m_place.name},
+                        {"ip", m_place.address},
+                        {"zone", m_place.dataCentre},
+                        {"region", "land"},
+                        {"zones", {{m_place.dataCentre, "land"}}},
+                        {"service", service},
+                        {"app_addr", toString(targetEndpoint())},
+                        {"listen_addrs", {{"inbound", at(PeerPort)}, {"outbound", at(CallerPort)}, {"readiness_addr", at(HealthPort)}}},
+                        {"heartbeat", "500ms"},
+                        {"bounds", {{"grace", std::to_string(m_place.stopLimit.count()) + "ms"}}},
+                        {"platform", {{"address", toString(m_place.store)}, {"reads_per_s", 2'000}}}};
+    if (m_place.memoryMegabytes > 0) {
+        json["limits"] = {{"memory_mb", m_place.memoryMegabytes}};
+    }
     return json.dump();
 }
 
--- a/tests/support/nodeprocess.h
+++ b/tests/support/nodeprocess.h
@@ -70,6 +70,7 @@
     std::string dataCentre = "one";
     Endpoint store;
     milliseconds stopLimit{4'000}; ///< ms; from SIGTERM to SIGKILL
+    double memoryMegabytes = 0; ///< MB; memory limit of the host; 0: none
 };
 
 class NodeProcess
