--- a/tests/mesh/memorybudget_test.cpp
+++ b/tests/mesh/memorybudget_test.cpp
@@ -112,6 +112,19 @@
     BOOST_TEST(budget.used() <= budget.limit());
 }
 
+/// Guards against a judgement by the mean rate alone: a receiver that was fast and stopped looks better than one that goes on slowly.
+BOOST_AUTO_TEST_CASE(enforce_fastReceiverHasStopped_isDroppedBeforeSlowOneThatGoesOn)
+{
+    add("slow", 450, 1'000);
+    add("stopped", 600, 150'000);
+    pass(seconds(1));
+    receivers["stopped"].bytesPerSecond = 0;
+    pass(seconds(2));
+    add("new", 150, 500'000);
+    budget.enforce(now);
+    BOOST_TEST(dropped == std::vector<std::string>{"stopped"}, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(enforce_allProgress_slowestIsDroppedFirst)
 {
     add("fast", 400, 50'000);
