--- a/src/forward/entrycontext.h
+++ b/src/forward/entrycontext.h
@@ -16,6 +16,7 @@
 #include "kernel/metrics.h"
 #include "mesh/evacuations.h"
 #include "mesh/loadbalancer.h"
+#include "mesh/memorybudget.h"
 #include "mesh/meshretrypolicy.h"
 #include "mesh/requestage.h"
 #include "mesh/routes.h"
@@ -35,6 +36,7 @@
     Forwarder *localForwarder = nullptr; ///< forwards to the target on this host, without a link
     PeerLinks *links = nullptr;
     CrashSuspects *crashSuspects = nullptr;
+    MemoryBudget *memory = nullptr;
     std::uint64_t seed = 0;
 };
 
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds MinRetryAfter{50}; ///< ms
 constexpr milliseconds NoConfigurationRetryAfter{500}; ///< ms; a new node has a configuration after about this time
 constexpr milliseconds QuarantineRetryAfter{10'000}; ///< ms; a target may answer the next probe by then
+constexpr milliseconds MemoryFullRetryAfter{1'000}; ///< ms; answers that are being read free their memory in about this time
 constexpr unsigned FirstServerError = 500;
 
 std::optional<milliseconds> parseRemainingTime(const std::string *text)
@@ -180,6 +181,13 @@
 
 // ---- [attempts] -------------------------------------------------------------------------------------------------
 
+/// Time that a large answer waits for this host's own link on its way to the caller.
+Duration EntryRequest::transferOnOwnLink() const
+{
+    const bool isLarge = m_context.loadBalancer.expectedResponseBytes(m_route->name) > MaxSmallResponseBytes;
+    return isLarge ? m_context.dependencies().links->uplink().backlogDelay(m_context.now()) : Duration(0);
+}
+
 ForwardRequest EntryRequest::forwardRequest() const
 {
     ForwardRequest request;
@@ -192,8 +200,9 @@
     request.headers = m_headers;
     request.kind = m_route->kind;
     request.priority = m_route->priority;
-    request.deadline = m_deadline;
-    request.goal = m_goal;
+    const auto onOwnLink = transferOnOwnLink();
+    request.deadline = m_deadline - onOwnLink;
+    request.goal = m_goal - onOwnLink;
     request.bodyLength = m_head.chunked ? std::nullopt : m_head.length;
     request.body = m_body;
     request.bodyComplete = m_bodyComplete;
@@ -218,9 +227,22 @@
     return true;
 }
 
+bool EntryRequest::refuseIfMemoryIsFull()
+{
+    const auto expected = m_context.loadBalancer.expectedResponseBytes(m_route->name);
+    if (m_attempted || m_context.dependencies().memory->admits(m_context.now(), expected)) {
+        return false;
+    }
+    DeliveryResult end;
+    end.outcome = Outcome::NotRun;
+    end.reason = Reason::MemoryFull;
+    failRequest(end, MemoryFullRetryAfter);
+    return true;
+}
+
 void EntryRequest::startAttempt()
 {
-    if (refuseIfQuarantined()) {
+    if (refuseIfQuarantined() || refuseIfMemoryIsFull()) {
         return;
     }
     const auto now = m_context.now();
@@ -315,7 +337,7 @@
 
 void EntryRequest::onAnswerBacklogReduced()
 {
-    if (m_uncreditedBytes > 0 && m_stream && m_writer.answerBacklog() < StreamWindow) {
+    if (m_uncreditedBytes > 0 && m_stream && m_writer.answerBacklog() < m_context.dependencies().memory->streamWindow(StreamWindow)) {
         m_stream->grantCredit(m_uncreditedBytes);
         m_uncreditedBytes = 0;
     }
@@ -470,6 +492,11 @@
     finish(0);
 }
 
+std::size_t EntryRequest::heldBytes() const
+{
+    return m_body.size() + m_heldBody.size();
+}
+
 void EntryRequest::logUnanswered() const
 {
     logEvent(LogLevel::Warning, "cut_by_exit")
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -63,7 +63,8 @@
                                              Reason::Cancelled,
                                              Reason::TargetLimit,
                                              Reason::TargetCold,
-                                             Reason::Evacuated};
+                                             Reason::Evacuated,
+                                             Reason::MemoryFull};
     return reasons;
 }
 
@@ -171,7 +172,7 @@
     void grantCredit(std::size_t bytes)
     {
         m_unacknowledgedBytes -= std::min(bytes, m_unacknowledgedBytes);
-        if (isRunning() && m_unacknowledgedBytes < StreamWindow) {
+        if (isRunning() && m_unacknowledgedBytes < m_dispatcher.streamWindow()) {
             m_connection->resumeAnswer();
         }
     }
@@ -212,7 +213,7 @@
         }
         m_unacknowledgedBytes += bytes.size();
         m_answerBytes += bytes.size();
-        if (m_unacknowledgedBytes >= StreamWindow) {
+        if (m_unacknowledgedBytes >= m_dispatcher.streamWindow()) {
             m_connection->pauseAnswer();
         }
         m_listener->onAnswerBody(bytes);
@@ -884,9 +885,27 @@
     if (!m_wrongHostTargetId.empty() && request.targetId == m_wrongHostTargetId) {
         return Reason::WrongHost;
     }
+    if (!fitsInMemory(request)) {
+        return Reason::MemoryFull;
+    }
     return request.targetId.empty() ? Reason::NoTarget : Reason::None;
 }
 
+/// The entry node decides for its own callers.
+bool TargetDispatcher::fitsInMemory(const ForwardRequest &request) const
+{
+    if (m_memory == nullptr || !request.fromPeer) {
+        return true;
+    }
+    const auto it = m_meanAnswerBytes.find(request.route);
+    return m_memory->admits(m_loop.turnTime(), it == m_meanAnswerBytes.end() ? 0 : static_cast<std::size_t>(it->second));
+}
+
+std::size_t TargetDispatcher::streamWindow() const
+{
+    return m_memory == nullptr ? StreamWindow : m_memory->streamWindow(StreamWindow);
+}
+
 std::unique_ptr<ForwardStream> TargetDispatcher::open(ForwardRequest request, ForwardListener &listener)
 {
     const bool isColdRate = request.targetRequestRate && m_cold.isColdRate(*request.targetRequestRate); // this node finds out itself whether it is in force
@@ -999,7 +1018,9 @@
     if (!large || !request.fromPeer || m_uplink == nullptr) {
         return Duration(0);
     }
-    return uplinkDelay() + m_uplink->timeFor(static_cast<std::size_t>(it->second));
+    // The link sends what is queued while the target works.
+    const auto wait = std::max(Duration(0), Duration(uplinkDelay() - m_queue.report(m_loop.turnTime()).meanServiceTime));
+    return wait + m_uplink->timeFor(static_cast<std::size_t>(it->second));
 }
 
 void TargetDispatcher::setUplink(const UplinkPacer &pacer, std::function<std::size_t()> backlog)
@@ -1124,7 +1145,12 @@
 std::unique_ptr<TargetConnection> TargetDispatcher::newConnection()
 {
     m_connections.add();
-    return std::make_unique<TargetConnection>(m_loop, m_settings.targetAddress, m_adapter.headers(), [this](TargetConnection &c) { removeIdleConnection(c); });
+    auto connection
+        = std::make_unique<TargetConnection>(m_loop, m_settings.targetAddress, m_adapter.headers(), [this](TargetConnection &c) { removeIdleConnection(c); });
+    if (m_memory != nullptr) {
+        connection->accountTo(*m_memory);
+    }
+    return connection;
 }
 
 void TargetDispatcher::releaseConnection(std::unique_ptr<TargetConnection> connection)
--- a/src/request/types.h
+++ b/src/request/types.h
@@ -47,6 +47,7 @@
     Evacuated, ///< the data centre of the targets is evacuated
     TargetCold, ///< the target is cold and takes only so many requests a second
     TargetHung, ///< the target did not answer the request well beyond its usual time
+    MemoryFull, ///< the node's budget for buffered bytes is used up
 };
 const char *reasonName(Reason reason); ///< "no-profile", "queue-full", ...
 const char *reasonRemedy(Reason reason); ///< one sentence of advice for the caller
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -76,6 +76,7 @@
     static std::string crashingTargetAnswer(const std::string &request); ///< 200 to a request of an exit node
     std::optional<milliseconds> evacuationLimit; ///< ms; setting of the hosts added afterwards; none: they do not use evacuations
     double linkMbps = 1'000; ///< Mbit/s; link speed of the hosts added afterwards
+    std::uint64_t memoryBytes = 0; ///< bytes; memory limit of the hosts added afterwards; 0: none
     /// Publishes a configuration for host "desk": /read/ (idempotent) to `readService`, /file/ (non-idempotent) to "desk",
     /// /feed/ (download) to "feed".
     void publish(std::uint64_t version, const std::string &readService = "desk", milliseconds timeout = seconds(2));
