--- a/tests/forward/faults_test.cpp
+++ b/tests/forward/faults_test.cpp
@@ -222,6 +222,7 @@
     constexpr int RequestsEach = 15;
     std::atomic<unsigned> served{0};
     std::vector<std::thread> callers;
+    callers.reserve(Callers);
     for (int n = 0; n < Callers; ++n) {
         callers.emplace_back([&] {
             for (int i = 0; i < RequestsEach; ++i) {
--- a/tests/mesh/coldfleet_test.cpp
+++ b/tests/mesh/coldfleet_test.cpp
@@ -298,10 +298,10 @@
                 run(n, id);
             }
         }
-        for (const auto &[id, verdict] : changes.refused) {
-            const auto node = m_hosts[n].calls.extract(id);
+        for (const auto &refused : changes.refused) {
+            const auto node = m_hosts[n].calls.extract(refused.first);
             if (!node.empty()) {
-                at(m_now + Hop, [this, n, call = node.mapped(), verdict] { onRefused(n, call, verdict); });
+                at(m_now + Hop, [this, n, call = node.mapped(), verdict = refused.second] { onRefused(n, call, verdict); });
             }
         }
     }
--- a/tests/mesh/evacuations_test.cpp
+++ b/tests/mesh/evacuations_test.cpp
@@ -213,7 +213,7 @@
 constexpr milliseconds Step{100};
 constexpr milliseconds Bound{5'000}; ///< from an acknowledged write, or from the store's recovery, to the last use of the data centre
 constexpr int MaxRepeatSteps = 12; ///< after a return of the store the operator's write is repeated; 1 s are left to see it within the grace
-const std::string Zone = "one";
+constexpr const char *EvacuatedDataCentre = "one";
 
 /// The store with one key, and what the operator wants.
 struct ModelStore {
@@ -333,11 +333,11 @@
         if (mustList) {
             std::vector<EvacuationUpdate> items;
             if (store.evacuated) {
-                items.push_back({Zone, {store.position.era, store.keyRevision}, true});
+                items.push_back({EvacuatedDataCentre, {store.position.era, store.keyRevision}, true});
             }
             node.evacuations.applyListing(now, items, store.position, "store");
         } else if (store.keyRevision > node.listedAt.revision) {
-            node.evacuations.apply(now, {Zone, {store.position.era, store.keyRevision}, store.evacuated}, "store");
+            node.evacuations.apply(now, {EvacuatedDataCentre, {store.position.era, store.keyRevision}, store.evacuated}, "store");
         }
         node.listedAt = store.position;
         node.evacuations.notePosition(now, store.position);
@@ -377,7 +377,7 @@
         for (auto &node : nodes) {
             const auto updates = node.evacuations.updates();
             const bool knowsWrite = std::any_of(updates.begin(), updates.end(), [&](const auto &each) { return each.evacuated && each.position >= wantedAt; });
-            node.hasHonoured = node.hasHonoured || (wanted && knowsWrite && node.evacuations.isEvacuated(Zone));
+            node.hasHonoured = node.hasHonoured || (wanted && knowsWrite && node.evacuations.isEvacuated(EvacuatedDataCentre));
         }
     }
 
@@ -385,20 +385,23 @@
     bool isBoundBroken() const
     {
         const bool isLate = wanted && now > std::max(wantedSince, unstableAt) + Bound;
-        return isLate
-            && std::any_of(nodes.begin(), nodes.end(), [](const auto &node) { return node.evacuations.isKnown() && !node.evacuations.isEvacuated(Zone); });
+        return isLate && std::any_of(nodes.begin(), nodes.end(), [](const auto &node) {
+                   return node.evacuations.isKnown() && !node.evacuations.isEvacuated(EvacuatedDataCentre);
+               });
     }
 
     /// Whether a node uses the data centre again although the operator has not lifted the evacuation that it honoured.
     bool isUndone() const
     {
-        return wanted && std::any_of(nodes.begin(), nodes.end(), [](const auto &node) { return node.hasHonoured && !node.evacuations.isEvacuated(Zone); });
+        return wanted
+            && std::any_of(nodes.begin(), nodes.end(), [](const auto &node) { return node.hasHonoured && !node.evacuations.isEvacuated(EvacuatedDataCentre); });
     }
 
     bool hasConverged() const
     {
         return std::all_of(nodes.begin(), nodes.end(), [&](const auto &node) {
-            return node.evacuations.isKnown() && node.evacuations.isEvacuated(Zone) == wanted && node.evacuations.digest() == nodes[0].evacuations.digest();
+            return node.evacuations.isKnown() && node.evacuations.isEvacuated(EvacuatedDataCentre) == wanted
+                && node.evacuations.digest() == nodes[0].evacuations.digest();
         });
     }
 };
