Cold targets: a health answer without a remaining time means that the target is warm

Cause: only cold targets state X-Cold-Ms. Change: no header in a good answer is a remaining time of zero.

--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -535,7 +535,8 @@
             return;
         }
         const auto *text = findHeader(m_reader.head().headers, m_dispatcher.m_adapter.headers().coldRemaining);
-        const auto remaining = text == nullptr ? std::nullopt : parseColdRemaining(*text);
+        // Only a cold target states a remaining time.
+        const auto remaining = text == nullptr ? std::optional(milliseconds(0)) : parseColdRemaining(*text);
         m_dispatcher.endHealthProbe(remaining, remaining ? "" : "no readable remaining time");
     }
 
--- a/tests/forward/coldtarget_test.cpp
+++ b/tests/forward/coldtarget_test.cpp
@@ -267,7 +267,7 @@
     IgnoringListener listener;
     std::vector<std::unique_ptr<ForwardStream>> streams;
     std::string statedRate; ///< by the target; empty: none
-    std::string coldMs = "0"; ///< in health answers
+    std::string coldMs = "0"; ///< in health answers; empty: not stated
 
     ColdDispatcherFixture()
     {
@@ -289,7 +289,10 @@
         if (call.path == HealthPath) {
             std::this_thread::sleep_for(HealthDelay);
             Standins::ServerReply reply;
-            reply.headers = {{HealthTargetIdHeader, "t0"}, {ColdRemainingHeader, coldMs}};
+            reply.headers = {{HealthTargetIdHeader, "t0"}};
+            if (!coldMs.empty()) {
+                reply.headers.push_back({ColdRemainingHeader, coldMs});
+            }
             return reply;
         }
         auto reply = target->validReply(call, "ok");
@@ -388,4 +391,19 @@
     BOOST_TEST(higher.value_or(0) == ColdRate);
 }
 
+/// Guards against a warm target that is limited for the whole cold time after each start of its node: only cold targets state a remaining
+/// time in their health answers.
+BOOST_AUTO_TEST_CASE(healthAnswer_withoutRemainingTime_targetIsNotCold)
+{
+    coldMs.clear();
+    begin();
+    std::optional<double> rateAfterAnswer = 0;
+    at(HealthDelay + milliseconds(200), [&] {
+        rateAfterAnswer = dispatcher->report().requestRate;
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(!rateAfterAnswer.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
