--- a/src/adapter/adapter.h
+++ b/src/adapter/adapter.h
@@ -47,7 +47,7 @@
     double retrySlack = 64; ///< additional retries allowed per window, over all nodes
     milliseconds retryWindow{10'000}; ///< ms
     std::optional<milliseconds> evacuationLimit; ///< ms; an evacuated data centre gets no requests after this; none: evacuations are not read
-    double coldOverrun = 1.5; ///< multiple of a cold target's request rate that may reach it in one second
+    double coldOverrun = 1.5; ///< multiple of a cold target's request rate that may reach it in one second; nodes aim at the rate itself
     double coldSlack = 0; ///< requests that may reach a cold target in one second beyond that
     double cpuShare = 1; ///< CPU cores
     double linkMbps = 1'000; ///< Mbit/s; speed of this host's link
--- a/tests/forward/evacuation_test.cpp
+++ b/tests/forward/evacuation_test.cpp
@@ -12,11 +12,6 @@
 
 constexpr milliseconds Bound{5'000}; ///< between the store's answer to the write and the last request
 
-bool contains(const std::string &text, const std::string &part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 double retryAfterOf(const std::string &answer)
 {
     const std::string name = "Retry-After: ";
@@ -69,54 +64,6 @@
     std::size_t m_nodes = 0;
 };
 
-/// Callers that each send one idempotent request after the other, 5 ms apart.
-class Callers
-{
-public:
-    Callers(MeshFixture &mesh, std::size_t nodes)
-    {
-        for (std::size_t n = 0; n < nodes; ++n) {
-            m_threads.emplace_back([this, &mesh, n] {
-                while (!m_stopped) {
-                    ++m_sent;
-                    m_served += contains(mesh.get(n, "/read/x"), "200 OK") ? 1 : 0;
-                    std::this_thread::sleep_for(milliseconds(5));
-                }
-            });
-        }
-    }
-
-    ~Callers()
-    {
-        stop();
-    }
-
-    void stop()
-    {
-        m_stopped = true;
-        for (auto &each : m_threads) {
-            if (each.joinable()) {
-                each.join();
-            }
-        }
-    }
-
-    unsigned sent() const
-    {
-        return m_sent;
-    }
-    unsigned served() const
-    {
-        return m_served;
-    }
-
-private:
-    std::atomic<bool> m_stopped{false};
-    std::atomic<unsigned> m_sent{0};
-    std::atomic<unsigned> m_served{0};
-    std::vector<std::thread> m_threads;
-};
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(EvacuationTest, EvacuationFixture)
@@ -125,7 +72,7 @@
 BOOST_AUTO_TEST_CASE(evacuation_putAndDeletedUnderLoad_targetsGetNothingWithinTheBoundAndAreUsedAgain)
 {
     startMesh(2, 2);
-    Callers callers(*this, 4);
+    SteadyCallers callers(*this, 4, 1, milliseconds(5));
     BOOST_TEST(waitUntil([&] { return requestsAt(0) + requestsAt(1) > 10; }));
     evacuate("one");
     const auto written = Clock::now();
--- a/tests/forward/faults_test.cpp
+++ b/tests/forward/faults_test.cpp
@@ -15,11 +15,6 @@
 
 namespace {
 
-bool contains(const std::string &text, const std::string &part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 std::string answerText(const std::string &id, const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\n" + std::string(RequestIdHeader) + ": " + id + "\r\n" + SignatureHeader + ": m\r\nContent-Length: " + std::to_string(body.size())
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -378,4 +378,9 @@
     return socket.receiveAnswer();
 }
 
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 } // namespace Fescuenotch::Tests
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -13,11 +13,6 @@
 
 namespace {
 
-bool contains(const std::string &text, const std::string &part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 /// A head and as many bytes of body as its Content-Length says.
 bool isComplete(const std::string &answer)
 {
@@ -49,57 +44,6 @@
         + "\r\n\r\n" + body;
 }
 
-/// Callers that each send one request after the other on connections of their own.
-class SteadyCallers
-{
-public:
-    SteadyCallers(MeshFixture &mesh, std::size_t nodes, std::size_t callersPerNode, milliseconds pause)
-    {
-        for (std::size_t n = 0; n < nodes * callersPerNode; ++n) {
-            m_threads.emplace_back([this, &mesh, pause, node = n % nodes] { work(mesh, node, pause); });
-        }
-    }
-
-    ~SteadyCallers()
-    {
-        stop();
-    }
-
-    void stop()
-    {
-        m_stopped = true;
-        for (auto &each : m_threads) {
-            if (each.joinable()) {
-                each.join();
-            }
-        }
-    }
-
-    unsigned sent() const
-    {
-        return m_sent;
-    }
-    unsigned served() const
-    {
-        return m_served;
-    }
-
-private:
-    void work(MeshFixture &mesh, std::size_t node, milliseconds pause)
-    {
-        while (!m_stopped) {
-            ++m_sent;
-            m_served += contains(mesh.get(node, "/read/x"), "200 OK") ? 1 : 0;
-            std::this_thread::sleep_for(pause);
-        }
-    }
-
-    std::atomic<bool> m_stopped{false};
-    std::atomic<unsigned> m_sent{0};
-    std::atomic<unsigned> m_served{0};
-    std::vector<std::thread> m_threads;
-};
-
 std::vector<TimePoint> arrivalTimes(const std::vector<ReceivedRequest> &requests)
 {
     std::vector<TimePoint> times;
--- a/tests/forward/slowtargets_test.cpp
+++ b/tests/forward/slowtargets_test.cpp
@@ -16,11 +16,6 @@
 constexpr milliseconds Service{30}; ///< ms
 constexpr milliseconds Timeout{2'000}; ///< ms; of the routes
 
-bool contains(const std::string &text, const std::string &part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 struct HangingFixture : MeshFixture {
     std::atomic<unsigned> atTarget{0}; ///< requests that the first target works on
     std::atomic<unsigned> capacity{2}; ///< of the first target; what it gets beyond is not answered
