Exit node: connect check and health probe in a file of their own

Change: ConnectCheck and HealthProbe are in targetprobes, the part for cold targets is in targetdispatcher_cold.cpp. No behaviour changes.

--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -1,4 +1,5 @@
-// Sections: [limits] [request] [crash check] [cold target] [hang detection] [stream] [admission] [connections] [target]
+// The parts for cold targets are in targetdispatcher_cold.cpp.
+// Sections: [limits] [request] [crash check] [hang detection] [stream] [admission] [connections] [target]
 #include "forward/targetdispatcher.h"
 
 #include "kernel/logging.h"
@@ -27,8 +28,6 @@
 constexpr std::size_t MaxIdleConnections = 64; ///< connections; above the number of slots that any target states
 
 constexpr Duration CrashCheckDelay = milliseconds(20); ///< ms; the requests of a target that crashes break within this time
-constexpr Duration HealthProbeTimeout = milliseconds(500); ///< ms; a cold target under load needs some ten milliseconds for a health answer
-constexpr MessageLimits HealthAnswerLimits{16'384, 65'536, 65'536}; ///< bytes; a health answer is small
 constexpr Duration RateLogPeriod = seconds(1); ///< s; a rate limit that changes with every answer is logged this often
 constexpr unsigned InitialSlots = 4; ///< concurrent requests to a target whose entry is not known yet
 
@@ -39,12 +38,6 @@
     return settings;
 }
 
-/// As text for a log line; "none" without a rate.
-std::string rateText(std::optional<double> perSecond)
-{
-    return perSecond ? std::to_string(*perSecond) : "none";
-}
-
 bool isServerError(unsigned status)
 {
     return status >= 500;
@@ -417,35 +410,6 @@
 
 // ---- [crash check] ----------------------------------------------------------------------------------------------
 
-/// A connection that only shows whether the target still listens.
-class TargetDispatcher::CrashCheck final : public StreamEvents
-{
-public:
-    explicit CrashCheck(TargetDispatcher &dispatcher)
-        : m_dispatcher(dispatcher)
-        , m_stream(TcpStream::connect(dispatcher.m_loop, dispatcher.m_settings.targetAddress, *this))
-    {
-    }
-
-    void onConnected() override
-    {
-        m_dispatcher.endCrashCheck(true);
-    }
-
-    void onInput() override
-    {
-    }
-
-    void onClosed(CloseCause) override
-    {
-        m_dispatcher.endCrashCheck(false);
-    }
-
-private:
-    TargetDispatcher &m_dispatcher;
-    std::unique_ptr<TcpStream> m_stream;
-};
-
 void TargetDispatcher::setCrashEvents(std::function<void(const std::vector<CrashSuspect> &)> onCrash, std::function<void(Fingerprint)> onAnswered)
 {
     m_onCrash = std::move(onCrash);
@@ -472,7 +436,7 @@
         onTargetLost();
     }
     m_connections.add();
-    m_crashCheck = std::make_unique<CrashCheck>(*this);
+    m_crashCheck = std::make_unique<ConnectCheck>(m_loop, m_settings.targetAddress, [this](bool reachable) { endCrashCheck(reachable); });
 }
 
 bool TargetDispatcher::hasConnectionFromBefore(TimePoint time) const
@@ -485,9 +449,6 @@
 
 void TargetDispatcher::endCrashCheck(bool reachable)
 {
-    if (!m_crashCheck) {
-        return; // its connection was closed right after it was opened
-    }
     m_loop.destroyLater(std::move(m_crashCheck));
     const auto requests = std::exchange(m_broken, {});
     if (reachable) {
@@ -508,185 +469,6 @@
     }
 }
 
-// ---- [cold target] ----------------------------------------------------------------------------------------------
-
-/// One GET of the service's health path, on a connection of its own.
-class TargetDispatcher::HealthProbe final : public StreamEvents
-{
-public:
-    explicit HealthProbe(TargetDispatcher &dispatcher)
-        : m_dispatcher(dispatcher)
-        , m_reader(MessageReader::Kind::Response, HealthAnswerLimits)
-        , m_stream(TcpStream::connect(dispatcher.m_loop, dispatcher.m_settings.targetAddress, *this))
-    {
-        const Headers headers{{"Host", toString(dispatcher.m_settings.targetAddress)}, {"Connection", "close"}};
-        m_stream->write(formatRequestHead("GET", dispatcher.m_healthPath, headers, {}));
-        m_timer.start(dispatcher.m_loop.timers(), HealthProbeTimeout, [this](TimePoint) { m_dispatcher.endHealthProbe(std::nullopt, "no answer in time"); });
-    }
-
-    void onInput() override
-    {
-        const auto result = m_reader.readHead(m_stream->input());
-        if (result == MessageReader::ReadResult::NeedMore) {
-            return;
-        }
-        if (result != MessageReader::ReadResult::Done || m_reader.head().status >= FirstErrorStatus) {
-            m_dispatcher.endHealthProbe(std::nullopt, "no valid answer");
-            return;
-        }
-        const auto *text = findHeader(m_reader.head().headers, m_dispatcher.m_adapter.headers().coldRemaining);
-        // Only a cold target states a remaining time.
-        const auto remaining = text == nullptr ? std::optional(milliseconds(0)) : parseColdRemaining(*text);
-        m_dispatcher.endHealthProbe(remaining, remaining ? "" : "no readable remaining time");
-    }
-
-    void onClosed(CloseCause cause) override
-    {
-        if (cause == CloseCause::ConnectFailed) {
-            m_dispatcher.onTargetLost();
-        }
-        m_dispatcher.endHealthProbe(std::nullopt, closeCauseName(cause));
-    }
-
-    std::string targetId() const
-    {
-        const auto *id = findHeader(m_reader.head().headers, m_dispatcher.m_adapter.headers().healthTargetId);
-        return id == nullptr ? std::string() : *id;
-    }
-
-private:
-    static constexpr unsigned FirstErrorStatus = 400;
-
-    TargetDispatcher &m_dispatcher;
-    MessageReader m_reader;
-    std::unique_ptr<TcpStream> m_stream;
-    ScopedTimer m_timer;
-};
-
-void TargetDispatcher::setService(const MeshService *service)
-{
-    ColdStartSettings settings;
-    if (service != nullptr) {
-        settings = {service->coldStart, service->coldRequestRate, !service->healthPath.empty()};
-        m_healthPath = service->healthPath;
-    }
-    m_cold.configure(m_loop.turnTime(), settings);
-    updateColdness();
-}
-
-void TargetDispatcher::checkColdness()
-{
-    m_cold.requestCheck(m_loop.turnTime());
-    m_queue.restartRequestRate(m_loop.turnTime());
-    updateColdness();
-}
-
-/// Requests that reached the process that ended don't count for the one that returns.
-void TargetDispatcher::onTargetLost()
-{
-    if (!m_cold.isEnabled()) {
-        return;
-    }
-    m_cold.onLost(m_loop.turnTime());
-    m_queue.restartRequestRate(m_loop.turnTime());
-    updateColdness();
-}
-
-void TargetDispatcher::onColdnessAnswer(const std::string &route, Duration serviceTime)
-{
-    if (m_cold.onAnswer(m_loop.turnTime(), route, serviceTime)) {
-        updateColdness();
-    }
-}
-
-std::optional<double> TargetDispatcher::coldRate() const
-{
-    return m_cold.rate(m_loop.turnTime());
-}
-
-std::optional<double> TargetDispatcher::rateInForce() const
-{
-    const auto stated = m_statedRate.perSecond();
-    const auto cold = coldRate();
-    return stated && cold ? std::min(*stated, *cold) : stated ? stated : cold;
-}
-
-Reason TargetDispatcher::rateReason() const
-{
-    const auto stated = m_statedRate.perSecond();
-    const auto cold = coldRate();
-    return cold && (!stated || *cold <= *stated) ? Reason::TargetCold : Reason::TargetLimit;
-}
-
-void TargetDispatcher::updateColdness()
-{
-    if (!m_cold.isEnabled() && !m_coldRateLogged) {
-        return;
-    }
-    const auto now = m_loop.turnTime();
-    logColdness(coldRate());
-    if (coldRate()) { // requests of this turn and a probe must count already
-        m_queue.limitRequestRate(now, *rateInForce(), rateReason());
-    }
-    applyRequestRate();
-    if (m_cold.isProbeDue(now) && !m_leaving) {
-        sendHealthProbe();
-    }
-    const auto next = m_cold.nextChange(now);
-    if (next == TimePoint::max()) {
-        m_coldTimer.cancel();
-        return;
-    }
-    m_coldTimer.start(m_loop.timers(), next - now + milliseconds(1), [this](TimePoint) { updateColdness(); });
-}
-
-void TargetDispatcher::logColdness(std::optional<double> rate)
-{
-    if (rate == m_coldRateLogged) {
-        return;
-    }
-    m_coldRateLogged = rate;
-    const auto left = m_cold.nextChange(m_loop.turnTime());
-    const auto known = rate && left != TimePoint::max();
-    logEvent(LogLevel::Info, "target_cold")
-        .with("target", m_targetId)
-        .with("change", rate ? "begin" : "end")
-        .with("per_second", rateText(rate))
-        .with("source", coldSourceName(m_cold.source()))
-        .with("next_check_ms", known ? std::chrono::duration_cast<milliseconds>(left - m_loop.turnTime()).count() : 0)
-        .with("running", m_queue.running())
-        .with("waiting", m_queue.waiting());
-}
-
-void TargetDispatcher::sendHealthProbe()
-{
-    m_cold.onProbeSent(m_loop.turnTime());
-    m_queue.onResent(m_loop.turnTime());
-    m_healthProbes.add();
-    m_connections.add();
-    m_healthProbe = std::make_unique<HealthProbe>(*this);
-}
-
-void TargetDispatcher::endHealthProbe(std::optional<milliseconds> remaining, const std::string &detail)
-{
-    if (!m_healthProbe) {
-        return;
-    }
-    const auto targetId = m_healthProbe->targetId();
-    m_loop.destroyLater(std::move(m_healthProbe));
-    if (remaining) {
-        m_cold.onProbeAnswer(m_loop.turnTime(), *remaining);
-    } else {
-        m_cold.onProbeFailed(m_loop.turnTime());
-    }
-    logEvent(LogLevel::Info, "health_probe")
-        .with("target", m_targetId)
-        .with("answered_by", targetId)
-        .with("cold_ms", remaining ? remaining->count() : -1)
-        .with("detail", detail);
-    updateColdness();
-}
-
 // ---- [hang detection] -------------------------------------------------------------------------------------------
 
 void TargetDispatcher::onSent(const SentRequest &request)
@@ -1076,7 +858,7 @@
         .with("target", m_targetId)
         .with("header_lines", headerLines)
         .with("characters", characters)
-        .with("in_force", rateText(m_statedRate.perSecond()))
+        .with("in_force", requestRateText(m_statedRate.perSecond()))
         .with("remedy", "the target must name one decimal number; the last one stays");
 }
 
@@ -1102,8 +884,8 @@
     logEvent(LogLevel::Info, "target_limit")
         .with("request", request.requestId)
         .with("target", m_targetId)
-        .with("before_per_second", rateText(before))
-        .with("per_second", rateText(rate))
+        .with("before_per_second", requestRateText(before))
+        .with("per_second", requestRateText(rate))
         .with("running", m_queue.running())
         .with("waiting", m_queue.waiting());
 }
--- a/src/forward/targetdispatcher.h
+++ b/src/forward/targetdispatcher.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "forward/targetconnection.h"
+#include "forward/targetprobes.h"
 #include "kernel/metrics.h"
 #include "mesh/coldstart.h"
 #include "mesh/crashsuspects.h"
@@ -79,8 +80,6 @@
 
 private:
     class ActiveRequest;
-    class CrashCheck;
-    class HealthProbe;
     class Stream;
     friend class ActiveRequest;
     friend class Stream;
@@ -125,7 +124,7 @@
     /// `serviceTime` is zero if it is not representative.
     void onColdnessAnswer(const std::string &route, Duration serviceTime);
     void sendHealthProbe();
-    void endHealthProbe(std::optional<milliseconds> remaining, const std::string &detail); ///< none: failed
+    void endHealthProbe(const HealthAnswer &answer);
     void logRequestRate(const ForwardRequest &request, std::optional<double> before);
     void scheduleTick();
     /// A request was sent completely: from now on the target may hang.
@@ -164,7 +163,7 @@
     std::function<void(Fingerprint)> m_onAnswered;
     std::vector<CrashSuspect> m_broken; ///< of requests that broke since the crash check began
     TimePoint m_brokenAt; ///< when the first of them broke
-    std::unique_ptr<CrashCheck> m_crashCheck; ///< while one is under way
+    std::unique_ptr<ConnectCheck> m_crashCheck; ///< while one is under way
     ScopedTimer m_crashCheckTimer;
     HangDetector m_hangs;
     ScopedTimer m_hangTimer;
--- a/src/mesh/requestrate.cpp
+++ b/src/mesh/requestrate.cpp
@@ -27,6 +27,11 @@
     return valid ? std::optional(rate) : std::nullopt;
 }
 
+std::string requestRateText(std::optional<double> perSecond)
+{
+    return perSecond ? std::to_string(*perSecond) : "none";
+}
+
 void StatedRate::onAnswer(TimePoint now, TimePoint requestSentAt, std::optional<double> stated)
 {
     m_hasAnswered = true;
--- a/src/mesh/requestrate.h
+++ b/src/mesh/requestrate.h
@@ -11,12 +11,15 @@
 #include "kernel/clock.h"
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Fescuenotch {
 
 /// Decimal digits with an optional fraction, such as "36" or "11.5". Anything else, and a number too large to be a rate, is none.
 std::optional<double> parseRequestRate(std::string_view text);
+/// For a log line; "none" without a rate.
+std::string requestRateText(std::optional<double> perSecond);
 
 /// The rate limit that one lifetime of a target states. It ends when `AnswersToEnd` answers in a row, to requests sent after it
 /// was last stated, state none.
