Hang detection: a target that lately ran as many requests at once was not full

Change: answers show how many requests a target ran at once; a hang with no more in flight than was shown within 4 s does not lower the limit. The node test with a target that hangs looked at the limit at the end of the run. Beside 14 busy processes it had grown back by then in 2 of 25 runs: the trace shows that it fell twice, and that the target got few requests in between.

--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -353,7 +353,7 @@
         ForwardEnd end;
         end.reason = reason;
         end.offered = true;
-        const bool representative = reason == Reason::DeadlinePassed && !m_dispatcher.m_hangs.isHung(m_id);
+        const bool representative = reason == Reason::DeadlinePassed && !m_dispatcher.m_hangs.isHungAtFullTarget(m_id);
         const auto serviceTime = representative ? now - m_startedAt : Duration(0);
         m_dispatcher.m_hangs.onEnded(now, m_id, false);
         m_deadlineTimer.cancel();
@@ -517,6 +517,7 @@
         .with("sent_ms_ago", std::chrono::duration_cast<milliseconds>(verdict.age).count())
         .with("usual_ms", std::chrono::duration_cast<milliseconds>(verdict.usual).count())
         .with("others_complete", verdict.othersComplete ? 1 : 0)
+        .with("full", verdict.full ? 1 : 0)
         .with("ended", verdict.end ? 1 : 0)
         .with("running", m_queue.running())
         .with("limit", m_hangs.limit());
--- a/src/mesh/hangdetector.cpp
+++ b/src/mesh/hangdetector.cpp
@@ -19,6 +19,9 @@
 constexpr double MinEarlyFactor = 8; ///< multiple of the mean service time; the same where the recent answers were all fast
 constexpr double RetryFactor = 2; ///< multiple of the mean service time; time to leave for another target
 constexpr Duration RetryTime = milliseconds(50); ///< ms; the same, in addition
+constexpr Duration MinOverlap
+    = milliseconds(20); ///< ms; of two requests that ran at once; an answer sooner after a send may have been in transit when the request was sent
+constexpr std::size_t MaxAnswered = 64; ///< answered requests that are remembered; bounds memory and time
 constexpr unsigned OthersComplete = 2; ///< later requests answered; a single one may have been answered before the target stopped
 constexpr double LimitDecreaseFactor = 0.7; ///< a single hang may have other causes than a full target
 constexpr Duration MinGrowTime = seconds(1); ///< s; for one request
@@ -50,6 +53,8 @@
 {
     m_means.clear();
     m_mean = {};
+    m_answered.clear();
+    m_concurrencyShownAt.clear();
     m_slowest = FirstSlowest;
     m_limit.reset();
     m_growTime = MinGrowTime;
@@ -63,7 +68,10 @@
     Sent sent;
     sent.request = request;
     sent.sentAt = now;
-    sent.ahead = static_cast<unsigned>(std::count_if(m_sent.begin(), m_sent.end(), [](const auto &each) { return !each.second.hung; }));
+    for (const auto &[id, other] : m_sent) {
+        sent.ahead += other.hung ? 0 : 1;
+        sent.notOverdueAhead += !other.hung && !isOverdue(now, other) ? 1 : 0;
+    }
     m_sent[request.id] = std::move(sent);
     if (m_due == TimePoint::max()) {
         m_due = now + m_settings.checkPeriod;
@@ -78,9 +86,7 @@
     }
     const auto &sent = node.mapped();
     if (answered) {
-        for (auto &[otherId, other] : m_sent) {
-            other.answeredSince += other.sentAt <= sent.sentAt ? 1 : 0;
-        }
+        recordAnswer(now, sent);
     }
     if (answered && !sent.sawPause && !isLate(now)) {
         const double mean = meanOf(sent.request.kind);
@@ -94,6 +100,46 @@
     }
 }
 
+/// Counts pairs of requests that ran at once, whichever of the two is answered first.
+void HangDetector::recordAnswer(TimePoint now, const Sent &answered)
+{
+    for (auto &[id, other] : m_sent) {
+        const bool wasAhead = other.sentAt > answered.sentAt;
+        other.answeredSince += wasAhead ? 0 : 1;
+        other.answeredAhead += wasAhead && now - other.sentAt >= MinOverlap ? 1 : 0;
+    }
+    while (!m_answered.empty() && (m_answered.size() >= MaxAnswered || now - m_answered.front().answeredAt > m_settings.maxConcurrencyAge)) {
+        m_answered.pop_front();
+    }
+    for (auto &earlier : m_answered) {
+        if (earlier.sentAt > answered.sentAt) {
+            recordConcurrency(earlier.answeredAt, ++earlier.answeredAhead);
+        }
+    }
+    m_answered.push_back({answered.sentAt, now, answered.answeredAhead});
+    recordConcurrency(now, answered.answeredAhead);
+}
+
+void HangDetector::recordConcurrency(TimePoint at, unsigned others)
+{
+    m_concurrencyShownAt.resize(std::max<std::size_t>(others + 1, m_concurrencyShownAt.size()));
+    for (unsigned n = 0; n <= others; ++n) {
+        m_concurrencyShownAt[n] = std::max(m_concurrencyShownAt[n], at);
+    }
+}
+
+/// Overdue requests may not be running. They are left out here, and only answered requests count in what was shown.
+bool HangDetector::hasShownConcurrencyOf(const Sent &sent) const
+{
+    return sent.notOverdueAhead < m_concurrencyShownAt.size() && m_concurrencyShownAt[sent.notOverdueAhead] + m_settings.maxConcurrencyAge >= sent.sentAt;
+}
+
+bool HangDetector::isOverdue(TimePoint now, const Sent &sent) const
+{
+    const double mean = meanOf(sent.request.kind);
+    return mean != 0 && secondsOf(now - sent.sentAt) >= MinEarlyFactor * mean;
+}
+
 void HangDetector::onAnswerBegun(AdmissionId id)
 {
     const auto it = m_sent.find(id);
@@ -102,10 +148,10 @@
     }
 }
 
-bool HangDetector::isHung(AdmissionId id) const
+bool HangDetector::isHungAtFullTarget(AdmissionId id) const
 {
     const auto it = m_sent.find(id);
-    return it != m_sent.end() && it->second.hung;
+    return it != m_sent.end() && it->second.atFullTarget;
 }
 
 bool HangDetector::sawPause(TimePoint now, AdmissionId id) const
@@ -208,12 +254,14 @@
     verdict.othersComplete = sent.answeredSince >= OthersComplete;
     verdict.age = now - sent.sentAt;
     verdict.usual = durationOf(meanOf(sent.request.kind));
+    verdict.full = verdict.othersComplete && !hasShownConcurrencyOf(sent);
     verdict.end = sent.request.mayRunTwice && mayEnd();
     sent.hung = true;
+    sent.atFullTarget = verdict.full;
     for (auto &[id, other] : m_sent) {
         other.ahead -= other.sentAt > sent.sentAt && other.ahead > 0 ? 1 : 0;
     }
-    if (verdict.othersComplete) {
+    if (verdict.full) {
         lowerLimit(now, sent);
     }
     return verdict;
--- a/src/mesh/hangdetector.h
+++ b/src/mesh/hangdetector.h
@@ -14,9 +14,10 @@
 // A hung request that may run twice is ended; it may have run. Any other keeps its whole time. The number of ended requests is a small
 // share of those sent, since each costs the fleet a retry.
 //
-// A hang while others complete means that the target was full: the limit falls below the number of requests that it had then, by at most
-// LimitDecreaseFactor at once, and grows back; the slower the more often it fell. The target may have had other work at that time (requests
-// from before the node started, health probes, requests that were cancelled), which the growth allows for.
+// A hang while others complete means that the target was full, unless its recent answers show that it ran as many requests at once: then
+// the hung request is one of a long tail, or its answer is lost. When the target was full, the limit falls below the number of requests that
+// it had then, by at most LimitDecreaseFactor at once, and grows back; the slower the more often it fell. The target may have had other work
+// at that time (requests from before the node started, health probes, requests that were cancelled), which the growth allows for.
 //
 // Time in which the node itself was paused, seen from a late check, is not counted for any request.
 //
@@ -26,6 +27,7 @@
 #include "kernel/clock.h"
 #include "mesh/admissionqueue.h"
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -42,6 +44,7 @@
     double minFactor = 20; ///< multiple of the mean service time; lowest that is taken for hung while others complete
     double maxFactor = 30; ///< multiple of the mean service time; highest; the one while no request completes
     double slowestFactor = 1.75; ///< multiple of the slowest recent answer, itself a multiple of the mean service time
+    Duration maxConcurrencyAge = seconds(4); ///< s; how long an answer counts as proof of how many requests the target runs at once
     double endedShare = 0.1; ///< of the sent requests; so many may be ended
     double endedSlack = 4; ///< requests that may be ended beyond the share
 };
@@ -56,7 +59,8 @@
 struct HangVerdict {
     AdmissionId id = 0;
     bool end = false; ///< end the request, outcome unknown; else it keeps its time
-    bool othersComplete = false; ///< the target answers other requests, so it was full
+    bool othersComplete = false; ///< the target answers other requests
+    bool full = false; ///< the target answers others, but recent answers do not show that it runs as many requests at once
     Duration age{0}; ///< since it was sent, without pauses
     Duration usual{0}; ///< mean service time of its kind
 };
@@ -73,7 +77,8 @@
     /// Each request is named at most once.
     std::vector<HangVerdict> check(TimePoint now);
     TimePoint nextCheck() const; ///< TimePoint::max() while no request runs
-    bool isHung(AdmissionId id) const;
+    /// Whether it is taken for hung because the target was full, so that its time says nothing about the target's work.
+    bool isHungAtFullTarget(AdmissionId id) const;
     /// Whether the node was paused while the request ran, so that its time says nothing about the target.
     bool sawPause(TimePoint now, AdmissionId id) const;
     unsigned limit() const; ///< requests that the target may get at once
@@ -84,14 +89,28 @@
         SentRequest request;
         TimePoint sentAt; ///< plus the time in which the node was paused
         unsigned ahead = 0; ///< requests that ran when it was sent, without hung ones
+        unsigned notOverdueAhead = 0; ///< of these, without those that are overdue and may hang themselves
+        unsigned answeredAhead = 0; ///< of those ahead, how many were answered
         unsigned answeredSince = 0; ///< requests that were sent after it and answered
         bool hung = false;
+        bool atFullTarget = false; ///< hung, and the target was full
         bool answerBegun = false;
         bool sawPause = false;
     };
 
+    struct Answered {
+        TimePoint sentAt;
+        TimePoint answeredAt;
+        unsigned answeredAhead = 0; ///< of those that ran when it was sent, how many were answered
+    };
+
     bool isLate(TimePoint now) const;
     void skipPause(TimePoint now);
+    bool isOverdue(TimePoint now, const Sent &sent) const;
+    void recordAnswer(TimePoint now, const Sent &answered);
+    /// An answer at `at` shows that the target ran its request at the same time as `others` other requests.
+    void recordConcurrency(TimePoint at, unsigned others);
+    bool hasShownConcurrencyOf(const Sent &sent) const;
     struct Mean {
         double recent = 0; ///< s
         double steady = 0; ///< s; over about the last hundred answers
@@ -110,6 +129,8 @@
     std::unordered_map<AdmissionId, Sent> m_sent; ///< by id
     std::unordered_map<std::string, Mean> m_means; ///< by kind
     Mean m_mean; ///< over all kinds
+    std::deque<Answered> m_answered; ///< recent ones, oldest first
+    std::vector<TimePoint> m_concurrencyShownAt; ///< by number n; last answer to a request that ran at the same time as n others
     double m_slowest; ///< multiple of the mean; of recent answers
     TimePoint m_due = TimePoint::max(); ///< time of the next check
     std::optional<double> m_limit; ///< none: not lowered
--- a/tests/forward/slowtargets_test.cpp
+++ b/tests/forward/slowtargets_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -14,6 +15,7 @@
 // ---- [fixture] --------------------------------------------------------------------------------------------------
 
 constexpr milliseconds Service{30}; ///< ms
+constexpr seconds CallingTime{4};
 constexpr milliseconds Timeout{2'000}; ///< ms; of the routes
 
 struct HangingFixture : MeshFixture {
@@ -68,21 +70,27 @@
     callers.reserve(7);
     for (int n = 0; n < 7; ++n) {
         callers.emplace_back([&] {
-            for (const auto until = Clock::now() + seconds(4); Clock::now() < until;) {
+            for (const auto until = Clock::now() + CallingTime; Clock::now() < until;) {
                 const auto answer = get(0, "/read/x");
                 ++sent;
                 unanswered += contains(answer, " 502 ") || contains(answer, " 504 ") || answer.empty() ? 1 : 0;
             }
         });
     }
+    // While the target gets few requests, the limit grows back to all slots within two seconds.
+    double lowestSlots = 4;
+    for (const auto until = Clock::now() + CallingTime; Clock::now() < until; std::this_thread::sleep_for(milliseconds(50))) {
+        lowestSlots = std::min(lowestSlots, metricOf(0, "fescuenotch_gate_slots"));
+    }
     for (auto &each : callers) {
         each.join();
     }
     BOOST_TEST_MESSAGE("sent " << sent << ", without the target's answer " << unanswered << ", ended "
-                               << metric(0, "fescuenotch_target_hung_total{ended=\"1\"}") << ", slots " << metric(0, "fescuenotch_gate_slots"));
+                               << metric(0, "fescuenotch_target_hung_total{ended=\"1\"}") << ", lowest slots " << lowestSlots);
     BOOST_TEST(metricOf(0, "fescuenotch_target_hung_total{ended=\"1\"}") > 0);
     BOOST_TEST(metricOf(1, "fescuenotch_target_hung_total{ended=\"1\"}") == 0);
-    BOOST_TEST(metricOf(0, "fescuenotch_gate_slots") < 4);
+    BOOST_TEST(lowestSlots > 0);
+    BOOST_TEST(lowestSlots < 4);
     BOOST_TEST(unanswered == 0U);
 }
 
--- a/tests/mesh/hangdetector_test.cpp
+++ b/tests/mesh/hangdetector_test.cpp
@@ -27,6 +27,8 @@
 struct ModelSettings {
     double perSecond = 80; ///< requests
     double shareMayRunTwice = 1;
+    double tailShare = 0.03; ///< of the requests
+    double tailFactor = 7; ///< multiple of the usual service time that these take
     bool detect = true;
     std::function<unsigned(Duration)> capacity = [](Duration) { return Slots; }; ///< by time; a request beyond it is never answered
     std::function<double(Duration)> slowness = [](Duration) { return 1.0; }; ///< factor of the service times by time
@@ -112,7 +114,7 @@
     double work()
     {
         const double usual = secondsOf(MeanWork) * std::lognormal_distribution<double>(-0.045, 0.3)(m_random);
-        return std::bernoulli_distribution(0.03)(m_random) ? 7 * usual : usual;
+        return std::bernoulli_distribution(m_settings.tailShare)(m_random) ? m_settings.tailFactor * usual : usual;
     }
 
     void start(AdmissionId id)
@@ -238,6 +240,19 @@
     return sum;
 }
 
+struct Comparison {
+    Counts before; ///< without detection
+    Counts after;
+};
+
+Comparison compareSeeds(ModelSettings settings, Duration time, const char *load)
+{
+    settings.detect = false;
+    const auto before = runSeeds(settings, time, load);
+    settings.detect = true;
+    return {before, runSeeds(settings, time, load)};
+}
+
 double phase(Duration at)
 {
     return at % seconds(4) < milliseconds(600) ? 2.5 : 1;
@@ -256,10 +271,7 @@
     settings.capacity = [](Duration) { return 6U; };
     for (const double perSecond : {80.0, 120.0}) {
         settings.perSecond = perSecond;
-        settings.detect = false;
-        const auto before = runSeeds(settings, seconds(30), "hangs when full");
-        settings.detect = true;
-        const auto after = runSeeds(settings, seconds(30), "hangs when full");
+        const auto [before, after] = compareSeeds(settings, seconds(30), "hangs when full");
         BOOST_TEST(after.lost + after.endedLate <= before.lost / 20);
         BOOST_TEST(after.ended <= after.arrived / 10);
         // What the target has no room for is refused as not run; a hung request occupies a slot until it is ended.
@@ -274,10 +286,7 @@
     ModelSettings settings;
     settings.capacity = [](Duration) { return 6U; };
     settings.shareMayRunTwice = 0;
-    settings.detect = false;
-    const auto before = runSeeds(settings, seconds(30), "not idempotent");
-    settings.detect = true;
-    const auto after = runSeeds(settings, seconds(30), "not idempotent");
+    const auto [before, after] = compareSeeds(settings, seconds(30), "not idempotent");
     BOOST_TEST(after.ended + after.endedLate == 0U);
     BOOST_TEST(after.keptHung > 0U);
     BOOST_TEST(after.lost <= before.lost / 2);
@@ -310,6 +319,22 @@
     }
 }
 
+/// A target that answers all it gets, with all slots in use; one request in 200 waits long for a call of its own. Guards against taking the
+/// target for full: it would lose slots in a shortage, one after the other.
+BOOST_AUTO_TEST_CASE(check_longTailAtTargetWithAllSlotsInUse_servesAsMuchAsWithoutDetection)
+{
+    ModelSettings settings;
+    settings.tailShare = 0.005;
+    settings.tailFactor = 25;
+    for (const double perSecond : {120.0, 240.0}) {
+        settings.perSecond = perSecond;
+        const auto [before, after] = compareSeeds(settings, seconds(60), "long tail");
+        BOOST_TEST(after.ended > 0U);
+        BOOST_TEST(after.lowestLimit >= Slots * 7 / 10);
+        BOOST_TEST(after.served >= before.served * 0.99);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(check_targetFiveTimesSlowForFiveSeconds_endsAlmostNone)
 {
     ModelSettings settings;
