Ages of requests: first attempts are learnt while none fail

Cause: in a lasting shortage most requests are retries. What they state became the usual remaining time, so they counted as first attempts.

--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -436,6 +436,9 @@
 void EntryRequest::refuse(unsigned status, Outcome outcome, Reason reason, milliseconds retryAfter)
 {
     m_context.metrics.onRefusal(reason);
+    if (m_route != nullptr) {
+        m_context.requestAges.onFailed(m_route->name);
+    }
     Headers headers{{"Content-Type", "application/json"}, {"Fescuenotch-Outcome", outcomeName(outcome)}};
     if (outcome == Outcome::NotRun && retryAfter > milliseconds(0)) {
         headers.push_back({"Retry-After", formatSeconds(std::max(retryAfter, MinRetryAfter))});
--- a/tests/mesh/meshretrypolicy_test.cpp
+++ b/tests/mesh/meshretrypolicy_test.cpp
@@ -208,6 +208,61 @@
     BOOST_TEST((ages.estimate("read", milliseconds(3'000)) > milliseconds(500)));
 }
 
+/// A lasting shortage: every second request is refused, and nearly all that were refused come back once. Guards against taking what
+/// retries state for the usual remaining time: then they count as first attempts and get slots although they are late.
+BOOST_AUTO_TEST_CASE(estimate_shortageWithManyRetries_retriesAreToldFromFirstAttempts)
+{
+    constexpr std::uint64_t Seed = 5;
+    BOOST_TEST_MESSAGE("seed " << Seed);
+    RequestAgeEstimator ages;
+    std::minstd_rand random(Seed);
+    std::uniform_int_distribution<int> stated(1'275, 1'500);
+    std::uniform_int_distribution<int> sinceFirst(100, 350);
+    for (int n = 0; n < 500; ++n) {
+        ages.estimate("read", milliseconds(stated(random)));
+    }
+    unsigned retries = 0;
+    unsigned recognized = 0;
+    unsigned firstAttempts = 0;
+    unsigned mistaken = 0;
+    for (int n = 0; n < 5'000; ++n) {
+        const bool isRetry = std::bernoulli_distribution(0.45)(random);
+        const auto remaining = milliseconds(stated(random) - (isRetry ? sinceFirst(random) : 0));
+        const bool isAged = ages.estimate("read", remaining) > Duration(0);
+        (isRetry ? retries : firstAttempts) += 1;
+        (isRetry ? recognized : mistaken) += isAged ? 1 : 0;
+        if (std::bernoulli_distribution(0.5)(random)) {
+            ages.onFailed("read");
+        }
+    }
+    BOOST_TEST(recognized * 10 >= retries * 7); // a quarter state as much as first attempts
+    BOOST_TEST(mistaken * 10 <= firstAttempts);
+}
+
+/// Guards against callers who look old for as long as a shortage lasts, since they have shorter timeouts than those before it.
+BOOST_AUTO_TEST_CASE(estimate_timeoutsBecomeShorterInShortage_mostCountAsFirstAttemptsAgain)
+{
+    RequestAgeEstimator ages;
+    std::minstd_rand random(5);
+    std::uniform_int_distribution<int> before(1'275, 1'500);
+    std::uniform_int_distribution<int> after(850, 1'000);
+    for (int n = 0; n < 500; ++n) {
+        ages.estimate("read", milliseconds(before(random)));
+    }
+    unsigned aged = 0;
+    Duration longest{0};
+    for (int n = 0; n < 2'000; ++n) {
+        const auto age = ages.estimate("read", milliseconds(after(random)));
+        ages.onFailed("read");
+        if (n >= 1'000) {
+            aged += age > Duration(0) ? 1 : 0;
+            longest = std::max(longest, age);
+        }
+    }
+    BOOST_TEST(aged <= 700U);
+    BOOST_TEST((longest < milliseconds(200)));
+}
+
 BOOST_AUTO_TEST_CASE(estimate_otherRoute_isIndependent)
 {
     RequestAgeEstimator ages;
