Rejected requests: Retry-After is the time to a free slot, divided by the share that the target takes

Cause: callers of requests that a target rejected came back after a fixed 250 ms, whether the target rejects half at random or everything. Change: the delay follows from the queue and from the share of requests that the target accepts, one second at most; the refusal names target-shed as its reason.

--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -392,8 +392,8 @@
 {
     if (retryAfter > milliseconds(0) && (m_retryAfter == milliseconds(0) || retryAfter < m_retryAfter)) {
         m_retryAfter = retryAfter;
-        const bool isRate = end.reason == Reason::TargetLimit || end.reason == Reason::TargetCold;
-        m_refusalReason = isRate ? end.reason : Reason::QueueFull;
+        const bool namesCause = end.reason == Reason::TargetLimit || end.reason == Reason::TargetCold || end.reason == Reason::TargetShed;
+        m_refusalReason = namesCause ? end.reason : Reason::QueueFull;
     }
     auto step = m_context.retryPolicy.next(m_context.now(), m_deadline, *m_route, m_service, end, m_retryState);
     if (m_streaming || mayCrashTheNextTarget(end)) {
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -290,6 +290,7 @@
         end.outcome = Outcome::NotRun;
         end.reason = wrongTarget ? Reason::WrongHost : Reason::TargetShed;
         end.offered = true;
+        end.retryAfter = wrongTarget ? milliseconds(0) : m_dispatcher.m_queue.retryAfterRejection(m_dispatcher.m_loop.turnTime());
         finish(end, Duration(0));
     }
 
--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -18,6 +18,8 @@
 constexpr double LimitDecreaseFactor = 0.85; ///< applied to the limit after RejectionThreshold rejections in a row
 constexpr double LimitIncreasePerStart = 0.05; ///< slots added to a reduced limit per started request
 constexpr unsigned RejectionThreshold = 6; ///< a target that rejects half of its requests at random reaches this in 1 of 64 cases
+constexpr double RejectionWeight = 0.05; ///< of the newest request in the share of rejected ones
+constexpr double MinAcceptedShare = 0.01; ///< keeps the division finite
 constexpr double LateWaitShare = 0.25; ///< of the longest wait that still meets the deadline; the rest is left for another target
 constexpr double PastGoalWaitShare = 0.5; ///< of the longest wait that still meets the deadline, for a request of the highest priority
 constexpr unsigned RanksPerPriority = 3;
@@ -264,6 +266,7 @@
     const auto node = m_running.extract(id);
     if (!node.empty() && service > Duration(0)) {
         m_consecutiveRejections = 0;
+        m_rejections.add(now, false, RejectionWeight);
         m_times.add(now, node.mapped().kind, service);
     }
     if (!node.empty()) {
@@ -370,8 +373,16 @@
     }
 }
 
-void AdmissionQueue::onRejected(TimePoint)
+milliseconds AdmissionQueue::retryAfterRejection(TimePoint now) const
 {
+    const double accepted = std::max(MinAcceptedShare, 1 - m_rejections.at(now));
+    const auto delay = std::chrono::ceil<milliseconds>(durationOf(secondsOf(retryAfter(now)) / accepted));
+    return std::min(delay, m_settings.maxRetryAfterRejection);
+}
+
+void AdmissionQueue::onRejected(TimePoint now)
+{
+    m_rejections.add(now, true, RejectionWeight);
     if (++m_consecutiveRejections < RejectionThreshold) {
         return;
     }
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -20,6 +20,7 @@
 #pragma once
 
 #include "kernel/clock.h"
+#include "mesh/fadingshare.h"
 #include "mesh/requestrate.h"
 #include "request/types.h"
 
@@ -125,6 +126,9 @@
     /// The target rejected a request. Several rejections in a row mean that its capacity is below the stated slots, so the
     /// limit is reduced; it grows back with each started request.
     void onRejected(TimePoint now);
+    /// For the caller of a request that the target rejected: the expected time until a slot is free, divided by the share of requests that
+    /// the target accepts. A target that rejects some requests at random, with slots free, may accept the next one.
+    milliseconds retryAfterRejection(TimePoint now) const;
     QueueChanges resize(TimePoint now, unsigned slots);
     /// The rate limit in force, in requests per second; none: not limited. `limitedBy` is the reason of refusals that it causes.
     QueueChanges setRequestRate(TimePoint now, std::optional<double> perSecond, Reason limitedBy = Reason::TargetLimit);
@@ -207,6 +211,7 @@
     std::size_t m_lateWaiting = 0;
     std::unordered_map<std::string, Share> m_shares; ///< by kind
     unsigned m_consecutiveRejections = 0;
+    FadingShare m_rejections; ///< of the requests that the target got
     unsigned m_hangLimit = std::numeric_limits<unsigned>::max(); ///< requests
     double m_limit; ///< effective slots; below the stated ones after rejections
 };
--- a/tests/mesh/admissionqueue_test.cpp
+++ b/tests/mesh/admissionqueue_test.cpp
@@ -303,6 +303,43 @@
     BOOST_TEST(queue.limit() >= 9U);
 }
 
+/// A target with free slots rejects half of its requests at random. Guards against sending their callers away for so long that they
+/// miss their goal of 400 ms, although the next request is taken as likely as any.
+BOOST_AUTO_TEST_CASE(retryAfterRejection_halfOfRequestsAtRandom_leavesTimeForTheGoal)
+{
+    AdmissionQueue queue(slots(6));
+    learnServiceTime(queue, "read", milliseconds(100));
+    std::minstd_rand random(11);
+    milliseconds sum{0};
+    constexpr int Requests = 200;
+    for (int n = 0; n < Requests; ++n) {
+        now += milliseconds(20);
+        const auto t = read();
+        queue.offer(now, t);
+        const bool rejected = std::bernoulli_distribution(0.5)(random);
+        if (rejected) {
+            queue.onRejected(now);
+        }
+        queue.finished(now, t.id, rejected ? milliseconds(0) : milliseconds(100));
+        sum += queue.retryAfterRejection(now);
+    }
+    BOOST_TEST((sum / Requests <= milliseconds(250)));
+}
+
+/// Guards against callers who return to a target that takes nothing as fast as to one with room.
+BOOST_AUTO_TEST_CASE(retryAfterRejection_everyRequest_isOneSecond)
+{
+    AdmissionQueue queue(slots(6));
+    for (int n = 0; n < 30; ++n) {
+        now += milliseconds(20);
+        const auto t = read();
+        queue.offer(now, t);
+        queue.onRejected(now);
+        queue.finished(now, t.id, milliseconds(0));
+    }
+    BOOST_TEST((queue.retryAfterRejection(now) == milliseconds(1'000)));
+}
+
 /// A target accepts fewer requests than it states and rejects the rest. The limit must follow its real capacity.
 BOOST_AUTO_TEST_CASE(onRejected_everyRequestAboveSix_limitDropsTowardsSix)
 {
