Observability: answers that this node cuts, input that it discards, and what a stop leaves

Change: AnswerDelivery knows which answers of a connection are handed over, passed to the kernel, or acknowledged by the caller's host; lines answer_cut and input_discarded with who closed, a counter of each, node_left with the answers and bytes that are left. explain takes answer_cut and cut_by_exit for causes. No decision uses it yet.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -2,6 +2,7 @@
 #include "forward/callerhttpserver.h"
 
 #include "kernel/logging.h"
+#include "mesh/answerdelivery.h"
 #include "plugins/requestcheck.h"
 
 #include <nlohmann/json.hpp>
@@ -27,6 +28,24 @@
     return expect != nullptr && sameHeaderName(*expect, "100-continue");
 }
 
+/// Why this node closes a connection whose caller is still there.
+const char *closeReasonName(CallerHttpServer::CloseReason reason)
+{
+    switch (reason) {
+    case CallerHttpServer::CloseReason::Linger:
+        return "linger";
+    case CallerHttpServer::CloseReason::Idle:
+        return "idle";
+    case CallerHttpServer::CloseReason::AbortedAnswer:
+        return "aborted-answer";
+    case CallerHttpServer::CloseReason::Stop:
+        return "stop";
+    case CallerHttpServer::CloseReason::Exit:
+        return "exit";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 class CallerHttpServer::Connection final : public StreamEvents
@@ -41,13 +60,50 @@
     {
     }
 
+    void updateDelivery()
+    {
+        if (!m_delivery.isDelivered()) {
+            m_delivery.update(now(), {m_tcp->pendingBytes(), m_tcp->unacknowledgedBytes()});
+        }
+    }
+
+    const AnswerDelivery &delivery() const
+    {
+        return m_delivery;
+    }
+
+    /// Call it before this node closes the connection: logs and counts what the caller loses by that.
+    void logLosses(CloseReason reason)
+    {
+        updateDelivery();
+        for (const auto &answer : m_delivery.undelivered()) {
+            m_server.m_cutAnswers[reason]->add();
+            const auto acknowledged = std::max(m_delivery.acknowledged(), answer.begin);
+            logEvent(LogLevel::Warning, "answer_cut")
+                .with("request", answer.requestId)
+                .with("closed_by", closeReasonName(reason))
+                .with("answer_bytes", answer.end - answer.begin)
+                .with("acknowledged_bytes", acknowledged - answer.begin)
+                .with("connection_pending_bytes", m_delivery.backlog().pending)
+                .with("connection_unacknowledged_bytes", m_delivery.backlog().unacknowledged)
+                .with("stalled_ms", std::chrono::duration_cast<milliseconds>(now() - m_delivery.lastProgressAt()).count());
+        }
+        if (const auto unread = m_inputEnded ? 0 : m_tcp->unreadBytes(); unread > 0) {
+            m_server.m_discardedInput[reason]->add();
+            logEvent(LogLevel::Warning, "input_discarded")
+                .with("closed_by", closeReasonName(reason))
+                .with("bytes", unread)
+                .with("last_request", m_lastRequestId);
+        }
+    }
+
     void updateMemoryAccount()
     {
         std::size_t held = m_tcp->pendingBytes();
         for (const auto &each : m_requests) {
             held += each->pendingBody.size() + (each->hasRequest() ? each->request().heldBytes() : 0);
         }
-        m_account.update(now(), held, m_writtenBytes - m_tcp->pendingBytes(), m_tcp->pendingBytes() > 0);
+        m_account.update(now(), held, m_delivery.handedOver() - m_tcp->pendingBytes(), m_tcp->pendingBytes() > 0);
     }
 
     /// Counts a finished answer as in flight until its bytes have been written to the socket.
@@ -81,12 +137,15 @@
         return !m_used;
     }
 
-    void closeIfIdle()
+    bool isIdle() const
     {
-        if (m_requests.empty() && !m_headStarted && m_tcp->pendingBytes() == 0) {
-            m_tcp->close();
-            m_server.remove(*this);
-        }
+        return m_requests.empty() && !m_headStarted && m_tcp->pendingBytes() == 0;
+    }
+
+    void close()
+    {
+        m_tcp->close();
+        m_server.remove(*this);
     }
 
     /// Answers 408 to a header that is not complete in time. Closes the connection if a body stalls, if it is idle for too long, or
@@ -94,8 +153,8 @@
     void checkTimeouts(TimePoint time)
     {
         if (m_lingeringSince && time - *m_lingeringSince > LingerTimeout) {
-            m_tcp->close();
-            m_server.remove(*this);
+            logLosses(CloseReason::Linger);
+            close();
             return;
         }
         const auto &callerLimits = m_server.m_limits;
@@ -106,8 +165,8 @@
         const bool bodyStalled = m_receiving != nullptr && time - m_lastInput > callerLimits.idleTimeout;
         const bool idleTooLong = m_requests.empty() && !m_headStarted && time - m_idleSince > callerLimits.idleTimeout;
         if (bodyStalled || idleTooLong) {
-            m_tcp->close();
-            m_server.remove(*this);
+            logLosses(CloseReason::Idle);
+            close();
         }
     }
 
@@ -255,6 +314,7 @@
             return m_delimitedByClose;
         }
 
+        std::string requestId; ///< empty for a refusal that the server writes itself
         std::string pendingBody; ///< encoded body bytes that are not written yet
 
     private:
@@ -344,9 +404,8 @@
             refuse(*refusal);
             return false;
         }
-        if (const auto *id = findHeader(head.headers, m_server.m_context.dependencies().adapter->headers().requestId)) {
-            m_lastRequestId = *id;
-        }
+        const auto *id = findHeader(head.headers, m_server.m_context.dependencies().adapter->headers().requestId);
+        m_lastRequestId = id == nullptr ? std::string() : *id;
         m_closeAfterLast = m_closeAfterLast || !head.keepAlive;
         m_server.m_lastRequestAt = now();
         if (expectsContinue(head) && m_requests.empty() && m_tcp->input().empty()) {
@@ -357,6 +416,7 @@
             return false;
         }
         m_requests.push_back(std::make_unique<Exchange>(*this, std::move(head)));
+        m_requests.back()->requestId = m_lastRequestId;
         m_receiving = m_requests.back().get();
         m_receiving->request().start();
         return true;
@@ -456,7 +516,7 @@
             .with("request", m_lastRequestId)
             .with("holder", MemoryBudget::holderName(MemoryBudget::Holder::Caller))
             .with("unsent_bytes", m_tcp->pendingBytes())
-            .with("sent_bytes", m_writtenBytes - m_tcp->pendingBytes())
+            .with("sent_bytes", m_delivery.handedOver() - m_tcp->pendingBytes())
             .with("requests", m_requests.size())
             .with("remedy", "read answers faster, or give the host more memory");
         for (const auto &each : m_requests) {
@@ -478,6 +538,7 @@
         while (!m_requests.empty() && m_tcp->isOpen()) {
             auto &front = *m_requests.front();
             if (front.isAborted()) {
+                logLosses(CloseReason::AbortedAnswer);
                 m_tcp->reset();
                 m_server.remove(*this);
                 break;
@@ -490,7 +551,7 @@
             m_closing = m_closing || (!head.empty() && closes) || (front.headFormatted() && front.endsConnection());
             m_inputEnded = m_inputEnded || m_closing;
             m_tcp->write(front.pendingBody);
-            m_writtenBytes += head.size() + front.pendingBody.size();
+            m_delivery.onHandedOver(now(), head.size() + front.pendingBody.size());
             if (!head.empty() || !front.pendingBody.empty()) {
                 m_server.m_context.dependencies().links->recordOtherTraffic(head.size() + front.pendingBody.size());
             }
@@ -507,6 +568,7 @@
 
     void removeFront()
     {
+        m_delivery.onAnswerEnd(m_requests.front()->requestId);
         // This may run inside a call from the front request, so it is destroyed at the end of the turn.
         m_server.m_context.loop().destroyLater(std::move(m_requests.front()));
         m_requests.pop_front();
@@ -537,7 +599,7 @@
     bool m_flushing = false;
     bool m_used = false; ///< input was received
     std::string m_lastRequestId;
-    std::uint64_t m_writtenBytes = 0; ///< since the connection was accepted
+    AnswerDelivery m_delivery;
     MemoryBudget::Account m_account;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
@@ -551,6 +613,14 @@
     for (const auto *reason : {"bad-request", "too-large", "slow-head", "leaving"}) {
         m_refusals[reason] = &metrics.counter("fescuenotch_entry_malformed_total", "Requests that were refused before they had a route.", {{"reason", reason}});
     }
+    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::AbortedAnswer, CloseReason::Stop, CloseReason::Exit}) {
+        const Labels labels{{"closed_by", closeReasonName(reason)}};
+        m_cutAnswers[reason] = &metrics.counter("fescuenotch_entry_cut_answers_total",
+                                                "Complete answers whose connection this node closed before the caller's host had acknowledged them.",
+                                                labels);
+        m_discardedInput[reason] = &metrics.counter(
+            "fescuenotch_entry_discarded_input_total", "Connections of callers that this node closed with input that it had not read.", labels);
+    }
     metrics.gauge("fescuenotch_entry_open_connections", "Connections of callers open now.", {}, [this] { return static_cast<double>(m_connections.size()); });
     m_timeoutCheckTimer.repeat(context.loop().timers(), TimeoutCheckPeriod, [this](TimePoint now) { checkTimeouts(now); });
 }
@@ -585,8 +655,9 @@
         m_listener.reset();
     }
     for (auto *connection : connections()) {
-        if (!connection->isUnused()) {
-            connection->closeIfIdle();
+        if (!connection->isUnused() && connection->isIdle()) {
+            connection->logLosses(CloseReason::Stop);
+            connection->close();
         }
     }
 }
@@ -616,17 +687,36 @@
     return n;
 }
 
-void CallerHttpServer::logUnanswered() const
+void CallerHttpServer::logCutByExit()
 {
     for (const auto &[key, connection] : m_connections) {
         connection->logUnanswered();
+        connection->logLosses(CloseReason::Exit);
     }
 }
 
+UndeliveredOutput CallerHttpServer::undeliveredOutput()
+{
+    UndeliveredOutput total;
+    for (const auto &[key, connection] : m_connections) {
+        connection->updateDelivery();
+        const auto &delivery = connection->delivery();
+        if (delivery.isDelivered()) {
+            continue;
+        }
+        total.answers += delivery.undelivered().size();
+        total.backlog.pending += delivery.backlog().pending;
+        total.backlog.unacknowledged += delivery.backlog().unacknowledged;
+    }
+    return total;
+}
+
 void CallerHttpServer::closeIdle()
 {
     for (auto *connection : connections()) {
-        connection->closeIfIdle();
+        if (connection->isIdle()) {
+            connection->close();
+        }
     }
 }
 
--- a/src/forward/callerhttpserver.h
+++ b/src/forward/callerhttpserver.h
@@ -13,15 +13,24 @@
 #pragma once
 
 #include "forward/entryrequest.h"
+#include "mesh/answerdelivery.h"
 
 #include <deque>
 #include <map>
 
 namespace Fescuenotch {
 
+/// Complete answers of all connections that callers' hosts have not acknowledged.
+struct UndeliveredOutput {
+    std::size_t answers = 0;
+    OutputBacklog backlog;
+};
+
 class CallerHttpServer
 {
 public:
+    enum class CloseReason { Linger, Idle, AbortedAnswer, Stop, Exit };
+
     CallerHttpServer(EntryContext &context, MetricsRegistry &metrics);
     ~CallerHttpServer();
     Result<void> listen(const Endpoint &endpoint);
@@ -33,8 +42,9 @@
     std::size_t requestsInFlight() const;
     /// Updates the memory accounts of all connections. Call it from time to time and before MemoryBudget::enforce.
     void updateMemoryAccounts();
-    /// Logs a line for each request that the end of the process cuts.
-    void logUnanswered() const;
+    /// Logs a line for each request, answer and unread input that the end of the process cuts.
+    void logCutByExit();
+    UndeliveredOutput undeliveredOutput();
     /// Closes connections that have no request and no unsent output.
     void closeIdle();
     TimePoint lastRequestAt() const
@@ -61,6 +71,8 @@
     TimePoint m_lastRequestAt;
     Counter &m_opened;
     std::map<std::string, Counter *> m_refusals; ///< by reason
+    std::map<CloseReason, Counter *> m_cutAnswers;
+    std::map<CloseReason, Counter *> m_discardedInput;
 };
 
 } // namespace Fescuenotch
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -241,7 +241,12 @@
 {
     m_loop.run();
     m_store->stop();
-    logEvent(LogLevel::Info, "node_left").with("in_flight", m_callerServer->requestsInFlight());
+    const auto undelivered = m_callerServer->undeliveredOutput();
+    logEvent(LogLevel::Info, "node_left")
+        .with("in_flight", m_callerServer->requestsInFlight())
+        .with("undelivered_answers", undelivered.answers)
+        .with("unsent_bytes", undelivered.backlog.pending)
+        .with("unacknowledged_bytes", undelivered.backlog.unacknowledged);
 }
 
 // ---- [pages] ----------------------------------------------------------------------------------------------------
@@ -900,7 +905,7 @@
         return;
     }
     m_stopTimer.cancel();
-    m_callerServer->logUnanswered();
+    m_callerServer->logCutByExit();
     m_callerServer->closeIdle();
     m_loop.stop();
 }
--- a/src/kernel/logstory.cpp
+++ b/src/kernel/logstory.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::string_view FirstKey = "time=";
-constexpr std::array<std::string_view, 4> EndingEvents{"refused", "answer_broken", "caller_left", "target_broke"};
+constexpr std::array<std::string_view, 6> EndingEvents{"refused", "answer_broken", "answer_cut", "caller_left", "cut_by_exit", "target_broke"};
 
 /// Reads a value from `at` on and moves `at` behind it; nothing when a quote is not closed.
 std::optional<std::string> readValue(std::string_view line, std::size_t &at)
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -4,9 +4,11 @@
 #include "plugins/listensocket.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -43,6 +45,13 @@
     static_cast<void>(::setsockopt(fd, level, name, &value, sizeof value));
 }
 
+/// Number of bytes in one of the socket's queues; 0 if the kernel does not tell.
+std::size_t queuedBytes(int fd, unsigned long request)
+{
+    int bytes = 0;
+    return fd >= 0 && ::ioctl(fd, request, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void setSocketOptions(int fd, const StreamOptions &options)
 {
     const auto interval = std::max<int>(1, static_cast<int>(options.unresponsiveTimeout.count() / 1'000 / (KeepAliveProbes + 1)));
@@ -224,6 +233,11 @@
     }
 }
 
+std::size_t TcpStream::unreadBytes() const
+{
+    return queuedBytes(m_fd, SIOCINQ);
+}
+
 void TcpStream::pauseInput()
 {
     m_paused = true;
@@ -256,6 +270,11 @@
     }
 }
 
+std::size_t TcpStream::unacknowledgedBytes() const
+{
+    return queuedBytes(m_fd, SIOCOUTQ);
+}
+
 void TcpStream::scheduleFlush()
 {
     if (m_flushScheduled) {
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -68,6 +68,9 @@
     {
         return m_output.size() - m_sentBytes;
     }
+    /// Bytes passed to the kernel that the remote host has not acknowledged; 0 where the kernel does not tell.
+    std::size_t unacknowledgedBytes() const;
+    std::size_t unreadBytes() const; ///< bytes received by the kernel and not yet read; closing now discards them and resets the connection
     bool isOpen() const
     {
         return m_fd >= 0;
