Tests: answers that a node cuts while their callers read them (fail)

Cause: closing connections, idle connections, and connections with a broken answer behind a complete one are closed or reset with bytes that are handed over and not delivered. Change: four cases with a real node and a caller with a receive buffer of 8 KB that reads at 86 to 300 KB/s; RawSocket reads at a rate.

--- /dev/null
+++ b/tests/forward/delivery_test.cpp
@@ -0,0 +1,112 @@
+// Answers that callers read slowly: nothing that this node decides may cut them. Sections: [fixture] [closing] [stop]
+#include "tests/forward/meshfixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace Fescuenotch;
+using namespace Fescuenotch::Tests;
+
+namespace {
+
+// ---- [fixture] --------------------------------------------------------------------------------------------------
+
+constexpr std::size_t AnswerBytes = 600'000;
+constexpr std::size_t BrokenAnswerBytes = 3'000'000; ///< bytes; so long that a part is passed on before it breaks off
+constexpr std::size_t SentOfBrokenAnswer = 1'150'000; ///< bytes
+constexpr int ReceiveBuffer = 8 * 1024; ///< bytes; so that an answer waits in the node and not in the test's sockets
+constexpr std::size_t SlowRate = 200'000; ///< bytes a second; three seconds for an answer
+constexpr milliseconds ReadLimit{8'000}; ///< ms
+
+struct DeliveryFixture : MeshFixture {
+    DeliveryFixture()
+    {
+        addNode("desk");
+        addNode("desk");
+        publish(1, "desk", seconds(10));
+        waitReady();
+        for (const std::size_t n : {0, 1}) {
+            target(n).setBehaviour([this, n](const Standins::ServerCall &call) {
+                auto reply = target(n).validReply(call, std::string(contains(call.path, "large") ? AnswerBytes : 10, 'x'));
+                if (contains(call.path, "broken")) {
+                    reply.streamBytes = BrokenAnswerBytes;
+                    reply.stream = writeFirstPart;
+                }
+                return reply;
+            });
+        }
+    }
+
+    /// Breaks the connection after a part of the body has left.
+    static std::ptrdiff_t writeFirstPart(std::uint64_t offset, std::span<char> buf)
+    {
+        if (offset >= SentOfBrokenAnswer) {
+            std::this_thread::sleep_for(milliseconds(200));
+            return -1;
+        }
+        const auto n = std::min(buf.size(), static_cast<std::size_t>(SentOfBrokenAnswer - offset));
+        std::fill_n(buf.begin(), n, 'y');
+        return static_cast<std::ptrdiff_t>(n);
+    }
+
+    RawSocket connectSlowReader()
+    {
+        return RawSocket::connectTo(callerEndpoint(0), ReceiveBuffer);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DeliveryTest, DeliveryFixture)
+
+// ---- [closing] --------------------------------------------------------------------------------------------------
+
+/// Guards against an answer that is cut because the time until the connection is closed starts before the answer is delivered.
+BOOST_AUTO_TEST_CASE(answer_closesItsConnectionAndIsReadSlowly_isComplete)
+{
+    auto socket = connectSlowReader();
+    socket.send(request("GET", "/read/large", "id-1", "Connection: close\r\n"));
+    const auto answer = socket.receiveAtRate(SlowRate, ReadLimit);
+    BOOST_TEST(isComplete(answer), "got " << answer.size() << " bytes");
+    BOOST_TEST(metric(0, "fescuenotch_entry_cut_answers_total{closed_by=\"linger\"}") == "0");
+}
+
+/// Guards against a kept connection that counts as idle while its caller still reads the last answer: idle connections are closed after 5 s.
+BOOST_AUTO_TEST_CASE(answer_onKeptConnectionIsReadLongerThanTheIdleTimeout_isComplete)
+{
+    auto socket = connectSlowReader();
+    socket.send(request("GET", "/read/large", "id-1"));
+    const auto answer = socket.receiveAtRate(AnswerBytes / 7, seconds(9));
+    BOOST_TEST(isComplete(answer), "got " << answer.size() << " bytes");
+    BOOST_TEST(metric(0, "fescuenotch_entry_cut_answers_total{closed_by=\"idle\"}") == "0");
+}
+
+/// Guards against a complete answer that is lost because the answer to the next pipelined request breaks off.
+BOOST_AUTO_TEST_CASE(answer_nextPipelinedAnswerBreaksOff_isComplete)
+{
+    auto socket = connectSlowReader();
+    socket.send(request("GET", "/read/large", "id-1") + request("GET", "/read/broken", "id-2"));
+    const auto answers = socket.receiveAtRate(SlowRate, ReadLimit);
+    BOOST_TEST(std::count(answers.begin(), answers.end(), 'x') >= static_cast<std::ptrdiff_t>(AnswerBytes), "got " << answers.size() << " bytes");
+    BOOST_TEST(std::count(answers.begin(), answers.end(), 'y') < static_cast<std::ptrdiff_t>(BrokenAnswerBytes)); // the second one does not look complete
+    BOOST_TEST(!contains(answers, "502"));
+}
+
+// ---- [stop] -----------------------------------------------------------------------------------------------------
+
+/// Guards against answers that a stopping node cuts although it has time to deliver them.
+BOOST_AUTO_TEST_CASE(stop_answerIsReadSlowly_isComplete)
+{
+    auto socket = connectSlowReader();
+    socket.send(request("GET", "/read/small", "id-1"));
+    BOOST_TEST(isComplete(socket.receiveAnswer()));
+    node(0).beginStop();
+    std::this_thread::sleep_for(milliseconds(100));
+    socket.send(request("GET", "/read/large", "id-2"));
+    const auto answer = socket.receiveAtRate(AnswerBytes / 2, ReadLimit); // the node exits 2.65 s after the stop began
+    BOOST_TEST(contains(answer, "200 OK"), answer.substr(0, 300));
+    BOOST_TEST(isComplete(answer), "got " << answer.size() << " bytes");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -383,4 +383,14 @@
     return text.find(part) != std::string::npos;
 }
 
+bool isComplete(const std::string &answer)
+{
+    const auto headEnd = answer.find("\r\n\r\n");
+    const auto length = answer.find("Content-Length: ");
+    if (headEnd == std::string::npos || length > headEnd) {
+        return false;
+    }
+    return answer.size() == headEnd + 4 + std::stoul(answer.substr(length + 16));
+}
+
 } // namespace Fescuenotch::Tests
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -130,6 +130,7 @@
 };
 
 bool contains(const std::string &text, const std::string &part);
+bool isComplete(const std::string &answer); ///< a head, and as many bytes of body as its Content-Length says
 
 /// Callers that each send one request after the other on connections of their own.
 class SteadyCallers
--- a/tests/forward/meshnode_test.cpp
+++ b/tests/forward/meshnode_test.cpp
@@ -13,17 +13,6 @@
 
 namespace {
 
-/// A head and as many bytes of body as its Content-Length says.
-bool isComplete(const std::string &answer)
-{
-    const auto headEnd = answer.find("\r\n\r\n");
-    const auto length = answer.find("Content-Length: ");
-    if (headEnd == std::string::npos || length > headEnd) {
-        return false;
-    }
-    return answer.size() == headEnd + 4 + std::stoul(answer.substr(length + 16));
-}
-
 /// In seconds; 0 without the header.
 double retryAfterOf(const std::string &answer)
 {
--- a/tests/support/rawsocket.cpp
+++ b/tests/support/rawsocket.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <stdexcept>
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr milliseconds AcceptPoll{20}; ///< ms; between looks at the stop flag
+constexpr milliseconds ReadPeriod{10}; ///< ms; of a socket that is read at a given rate
 
 bool readable(int fd, milliseconds limit)
 {
@@ -85,10 +87,10 @@
     return true;
 }
 
-std::size_t RawSocket::receiveSome(std::string &buf, milliseconds limit)
+std::size_t RawSocket::receiveSome(std::string &buf, milliseconds limit, std::size_t maxBytes)
 {
     std::array<char, 65'536> piece{};
-    const auto n = readable(m_fd, limit) ? ::recv(m_fd, piece.data(), piece.size(), 0) : 0;
+    const auto n = readable(m_fd, limit) ? ::recv(m_fd, piece.data(), std::min(maxBytes, piece.size()), 0) : 0;
     if (n <= 0) {
         m_reset = n < 0 && errno == ECONNRESET;
         return 0;
@@ -113,6 +115,17 @@
     return text;
 }
 
+std::string RawSocket::receiveAtRate(std::size_t bytesPerSecond, milliseconds limit)
+{
+    const auto begin = Clock::now();
+    const auto bytesPerRead = std::max<std::size_t>(1, bytesPerSecond * ReadPeriod.count() / 1'000);
+    std::string text;
+    while (receiveSome(text, leftUntil(begin + limit), bytesPerRead) > 0) {
+        std::this_thread::sleep_until(begin + milliseconds(text.size() * 1'000 / bytesPerSecond));
+    }
+    return text;
+}
+
 std::string RawSocket::receiveAnswer(milliseconds limit)
 {
     const auto until = Clock::now() + limit;
--- a/tests/support/rawsocket.h
+++ b/tests/support/rawsocket.h
@@ -32,7 +32,9 @@
     std::string receiveAll(milliseconds limit = seconds(5));
     /// One answer with Content-Length, or a head alone.
     std::string receiveAnswer(milliseconds limit = seconds(5));
-    std::size_t receiveSome(std::string &buf, milliseconds limit); ///< bytes, 0 at the end or when `limit` passes
+    /// What arrives until the other side closes or `limit` passes, read at most at this rate.
+    std::string receiveAtRate(std::size_t bytesPerSecond, milliseconds limit);
+    std::size_t receiveSome(std::string &buf, milliseconds limit, std::size_t maxBytes = 65'536); ///< bytes, 0 at the end or when `limit` passes
     bool closedByPeer(milliseconds limit); ///< the other side closes within `limit`
     bool wasReset() const; ///< the last receive ended with a reset
     void close();
