Callers: a closing connection lingers from the delivery of its last answer, not from the hand-over

Callers saw an answer end early, with a clean end of the connection, whenever they needed more than a second for what was still in the node when the answer was complete there: after every answer that closes its connection, so in every planned stop. Cause: the linger of 1 s counted from the hand-over to the stream, and the check after it closed the connection with bytes pending. Change: it counts from the moment when the caller's host has acknowledged all; a caller that takes nothing for the idle timeout is closed (closed_by=stalled). A stop counts an answer as in flight until it is acknowledged.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -15,8 +15,8 @@
 
 constexpr std::size_t MaxPipelinedRequests = 64; ///< concurrent requests of one connection; input is paused beyond that
 constexpr milliseconds TimeoutCheckPeriod{250}; ///< ms between checks for slow and idle connections
-/// ms; after the last answer, input is read and discarded for this long. Closing with unread input would send a reset, which can
-/// make the caller lose the answer.
+/// ms; after the last answer was delivered, input is read and discarded for this long. Closing with unread input would send a reset, which
+/// can make the caller lose the answer.
 constexpr milliseconds LingerTimeout{1'000};
 /// 128 KB unsent in the kernel keep a fast link busy; the rest of an answer that is read slowly is counted by the MemoryBudget.
 constexpr StreamOptions CallerStreamOptions{milliseconds(1'000), milliseconds(4'000), 128 * 1024};
@@ -36,6 +36,8 @@
         return "linger";
     case CallerHttpServer::CloseReason::Idle:
         return "idle";
+    case CallerHttpServer::CloseReason::Stalled:
+        return "stalled";
     case CallerHttpServer::CloseReason::AbortedAnswer:
         return "aborted-answer";
     case CallerHttpServer::CloseReason::Stop:
@@ -106,11 +108,12 @@
         m_account.update(now(), held, m_delivery.handedOver() - m_tcp->pendingBytes(), m_tcp->pendingBytes() > 0);
     }
 
-    /// Counts a finished answer as in flight until its bytes have been written to the socket.
-    std::size_t requestsInFlight() const
+    /// Counts a finished answer as in flight until the caller's host has acknowledged it.
+    std::size_t requestsInFlight()
     {
-        const std::size_t unsent = m_tcp->pendingBytes() > 0 && m_requests.empty() ? 1 : 0;
-        return unsent + static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(), [](const auto &each) { return !each->isDone(); }));
+        updateDelivery();
+        const std::size_t undelivered = !m_delivery.isDelivered() && m_requests.empty() ? 1 : 0;
+        return undelivered + static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(), [](const auto &each) { return !each->isDone(); }));
     }
 
     void logUnanswered() const
@@ -148,16 +151,25 @@
         m_server.remove(*this);
     }
 
-    /// Answers 408 to a header that is not complete in time. Closes the connection if a body stalls, if it is idle for too long, or
-    /// when the lingering after the last answer is over.
+    /// Answers 408 to a header that is not complete in time. Closes the connection if a body stalls, if it is idle for too long, if its
+    /// caller takes nothing of an answer for as long, or when the lingering after the last answer is over.
     void checkTimeouts(TimePoint time)
     {
+        const auto &callerLimits = m_server.m_limits;
+        updateDelivery();
+        if (m_requests.empty() && !m_delivery.isDelivered()) {
+            if (time - m_delivery.lastProgressAt() > callerLimits.idleTimeout) {
+                logLosses(CloseReason::Stalled);
+                close();
+                return;
+            }
+            m_lingeringSince = m_lingeringSince ? std::optional(time) : std::nullopt;
+        }
         if (m_lingeringSince && time - *m_lingeringSince > LingerTimeout) {
             logLosses(CloseReason::Linger);
             close();
             return;
         }
-        const auto &callerLimits = m_server.m_limits;
         if (m_headStarted && !m_reader.isHeadComplete() && time - *m_headStarted > callerLimits.headTimeout) {
             refuse({408, "slow-head", "send the head of a request within " + std::to_string(callerLimits.headTimeout.count()) + " ms"});
             return;
@@ -613,7 +625,7 @@
     for (const auto *reason : {"bad-request", "too-large", "slow-head", "leaving"}) {
         m_refusals[reason] = &metrics.counter("fescuenotch_entry_malformed_total", "Requests that were refused before they had a route.", {{"reason", reason}});
     }
-    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::AbortedAnswer, CloseReason::Stop, CloseReason::Exit}) {
+    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::AbortedAnswer, CloseReason::Stop, CloseReason::Exit}) {
         const Labels labels{{"closed_by", closeReasonName(reason)}};
         m_cutAnswers[reason] = &metrics.counter("fescuenotch_entry_cut_answers_total",
                                                 "Complete answers whose connection this node closed before the caller's host had acknowledged them.",
@@ -678,7 +690,7 @@
     }
 }
 
-std::size_t CallerHttpServer::requestsInFlight() const
+std::size_t CallerHttpServer::requestsInFlight()
 {
     std::size_t n = 0;
     for (const auto &[key, connection] : m_connections) {
--- a/src/forward/callerhttpserver.h
+++ b/src/forward/callerhttpserver.h
@@ -29,7 +29,7 @@
 class CallerHttpServer
 {
 public:
-    enum class CloseReason { Linger, Idle, AbortedAnswer, Stop, Exit };
+    enum class CloseReason { Linger, Idle, Stalled, AbortedAnswer, Stop, Exit };
 
     CallerHttpServer(EntryContext &context, MetricsRegistry &metrics);
     ~CallerHttpServer();
@@ -39,7 +39,8 @@
     /// Refuses new connections and answers further requests on open ones with 503 "not-run". Closes idle connections, except
     /// those that have not carried a request yet: their first one may be on the way, and its caller is owed an answer.
     void stopAccepting();
-    std::size_t requestsInFlight() const;
+    /// Requests without a complete answer, and answers that are not delivered.
+    std::size_t requestsInFlight();
     /// Updates the memory accounts of all connections. Call it from time to time and before MemoryBudget::enforce.
     void updateMemoryAccounts();
     /// Logs a line for each request, answer and unread input that the end of the process cuts.
