Callers: a kept connection is idle from the delivery of its last answer

Callers that read longer than the idle timeout after the hand-over were closed in the middle of the answer (found by reading for the same cause). Cause: the idle time counted from the hand-over to the stream. Change: it counts from delivery.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -164,6 +164,7 @@
                 return;
             }
             m_lingeringSince = m_lingeringSince ? std::optional(time) : std::nullopt;
+            m_idleSince = time;
         }
         if (m_lingeringSince && time - *m_lingeringSince > LingerTimeout) {
             logLosses(CloseReason::Linger);
