Callers: an answer that breaks off leaves the complete ones before it

Callers of pipelined requests lost a complete answer when the next one broke off: the connection was reset at once, and a reset discards what the caller's host has not acknowledged (found by reading for the same cause). Change: the reset waits until the complete answers are delivered, or until the caller takes nothing for the idle timeout.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -38,8 +38,6 @@
         return "idle";
     case CallerHttpServer::CloseReason::Stalled:
         return "stalled";
-    case CallerHttpServer::CloseReason::AbortedAnswer:
-        return "aborted-answer";
     case CallerHttpServer::CloseReason::Stop:
         return "stop";
     case CallerHttpServer::CloseReason::Exit:
@@ -156,7 +154,10 @@
     void checkTimeouts(TimePoint time)
     {
         const auto &callerLimits = m_server.m_limits;
-        updateDelivery();
+        resetIfDelivered();
+        if (!m_tcp->isOpen()) {
+            return;
+        }
         if (m_requests.empty() && !m_delivery.isDelivered()) {
             if (time - m_delivery.lastProgressAt() > callerLimits.idleTimeout) {
                 logLosses(CloseReason::Stalled);
@@ -551,9 +552,7 @@
         while (!m_requests.empty() && m_tcp->isOpen()) {
             auto &front = *m_requests.front();
             if (front.isAborted()) {
-                logLosses(CloseReason::AbortedAnswer);
-                m_tcp->reset();
-                m_server.remove(*this);
+                endAfterAbortedAnswer();
                 break;
             }
             const bool isLast = m_requests.size() == 1 && m_receiving == nullptr;
@@ -579,6 +578,31 @@
         updateMemoryAccount();
     }
 
+    /// Drops the requests that are left. The connection is reset, so that the caller sees that the aborted answer is incomplete, but only when
+    /// the complete answers before it are delivered: a reset discards what the caller's host has not acknowledged.
+    void endAfterAbortedAnswer()
+    {
+        m_inputEnded = true;
+        m_headStarted.reset();
+        m_receiving = nullptr;
+        for (auto &each : m_requests) {
+            m_server.m_context.loop().destroyLater(std::move(each)); // this may run inside a call from one of them
+        }
+        m_requests.clear();
+        m_resetsWhenDelivered = true;
+        m_tcp->resumeInput();
+        resetIfDelivered();
+    }
+
+    void resetIfDelivered()
+    {
+        updateDelivery();
+        if (m_resetsWhenDelivered && m_delivery.undelivered().empty()) {
+            m_tcp->reset();
+            m_server.remove(*this);
+        }
+    }
+
     void removeFront()
     {
         m_delivery.onAnswerEnd(m_requests.front()->requestId);
@@ -609,6 +633,7 @@
     bool m_closeAfterLast = false; ///< close after the last request, because of `Connection: close` or an error
     bool m_inputEnded = false;
     bool m_closing = false; ///< an answer with `Connection: close`, or one delimited by the close, has begun
+    bool m_resetsWhenDelivered = false; ///< an answer was aborted behind complete ones
     bool m_flushing = false;
     bool m_used = false; ///< input was received
     std::string m_lastRequestId;
@@ -626,7 +651,7 @@
     for (const auto *reason : {"bad-request", "too-large", "slow-head", "leaving"}) {
         m_refusals[reason] = &metrics.counter("fescuenotch_entry_malformed_total", "Requests that were refused before they had a route.", {{"reason", reason}});
     }
-    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::AbortedAnswer, CloseReason::Stop, CloseReason::Exit}) {
+    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::Stop, CloseReason::Exit}) {
         const Labels labels{{"closed_by", closeReasonName(reason)}};
         m_cutAnswers[reason] = &metrics.counter("fescuenotch_entry_cut_answers_total",
                                                 "Complete answers whose connection this node closed before the caller's host had acknowledged them.",
