Tests: requests that are given up while their targets work on them (fail)

Cause: after a start an exit node judges requests by the first answers that it sees, whatever their kind, and ends them after 250 ms; an entry node that stops has no other target and answers 502.

--- a/tests/forward/delivery_test.cpp
+++ b/tests/forward/delivery_test.cpp
@@ -109,4 +109,27 @@
     BOOST_TEST(isComplete(answer), "got " << answer.size() << " bytes");
 }
 
+/// Guards against an error for a request at which its target is at work: the run takes long, and the exit node takes it for hung. Two requests
+/// are at work, one from before the stop and one from after it began.
+BOOST_AUTO_TEST_CASE(stop_targetTakesLongerThanUsual_requestsAreNotGivenUp)
+{
+    addNode("feed");
+    waitReady();
+    for (int n = 0; n < 40; ++n) {
+        BOOST_TEST(contains(get(0, "/feed/small"), "200 OK"));
+    }
+    target(2).setBehaviour([this](const Standins::ServerCall &call) { return target(2).delayedReply(call, milliseconds(1'200)); });
+    auto before = RawSocket::connectTo(callerEndpoint(0));
+    auto after = RawSocket::connectTo(callerEndpoint(0));
+    before.send(request("GET", "/feed/a", "id-a"));
+    std::this_thread::sleep_for(milliseconds(100));
+    node(0).beginStop();
+    std::this_thread::sleep_for(milliseconds(50));
+    after.send(request("GET", "/feed/b", "id-b"));
+    for (auto *socket : {&before, &after}) {
+        const auto answer = socket->receiveAnswer();
+        BOOST_TEST(contains(answer, "200 OK"), answer.substr(0, 300));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/mesh/hangdetector_test.cpp
+++ b/tests/mesh/hangdetector_test.cpp
@@ -355,6 +355,57 @@
     BOOST_TEST(counts.lowestLimit == Slots);
 }
 
+/// The verdicts on a request of kind "read" that was sent at Start and is never answered, until `age`.
+std::vector<HangVerdict> judgeUnanswered(HangDetector &detector, Duration deadline, Duration age)
+{
+    constexpr AdmissionId Id = 1'000'000;
+    detector.onSent(Start, {Id, "read", true, Start + deadline});
+    std::vector<HangVerdict> verdicts;
+    for (auto now = Start; now < Start + age; now = detector.nextCheck()) {
+        const auto found = detector.check(now);
+        verdicts.insert(verdicts.end(), found.begin(), found.end());
+    }
+    return verdicts;
+}
+
+/// Answers `count` requests of `kind` before Start, one after the other.
+void answerRequests(HangDetector &detector, const std::string &kind, unsigned count, Duration service)
+{
+    auto now = Start - count * service;
+    for (AdmissionId id = 1; id <= count; ++id) {
+        detector.onSent(now, {id, kind, true, now + Deadline});
+        now += service;
+        detector.onEnded(now, id, true);
+    }
+}
+
+/// Guards against a node that has just started and ends all work of one kind because the few answers that it has seen, of another kind,
+/// were fast. Around a planned stop the callers got errors for requests at which their targets were at work (issue 46).
+BOOST_AUTO_TEST_CASE(check_onlyAnotherKindWasAnsweredFast_isNotTakenForHung)
+{
+    HangDetector detector;
+    answerRequests(detector, "ping", 3, milliseconds(3));
+    BOOST_TEST(judgeUnanswered(detector, Deadline, milliseconds(950)).empty());
+}
+
+/// As above, with answers of the kind itself: a few do not tell its usual time.
+BOOST_AUTO_TEST_CASE(check_fewRequestsOfTheKindWereAnsweredFast_isNotTakenForHung)
+{
+    HangDetector detector;
+    answerRequests(detector, "read", 3, milliseconds(3));
+    BOOST_TEST(judgeUnanswered(detector, Deadline, milliseconds(950)).empty());
+}
+
+/// Guards against ending work early where requests take seconds by design, as their deadlines show, and against waiting until no time is
+/// left for another target.
+BOOST_AUTO_TEST_CASE(check_usualTimeIsUnknown_isTakenForHungAtHalfOfItsTime)
+{
+    HangDetector early;
+    BOOST_TEST(judgeUnanswered(early, seconds(8), milliseconds(3'900)).empty());
+    HangDetector late;
+    BOOST_TEST(judgeUnanswered(late, seconds(8), milliseconds(4'150)).size() == 1U);
+}
+
 // ---- [other causes] ---------------------------------------------------------------------------------------------
 
 /// Guards against taking a target that is dead or stopped as a whole for a full one: its limit says nothing, and more retries than the
