Hang detection: needs ten answers of a kind, and leaves requests of stopping entry nodes at work

Cause: a node that had just started took the mean of its first answers, of whatever kind (3 ms), for the usual time of all and ended runs of 0.2 to 0.4 s after 250 ms. An end is meant for another target; an entry node that stops finds none and answers by itself. Change: the usual time is that of the request's own kind and known after ten answers; before, a request is taken for hung at half of its time, one second at least. A request whose entry node stops, before or after it was sent, is not ended: exit nodes are told of the stop for every request in flight, also where the deadline stays.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -123,11 +123,11 @@
         }
     }
 
-    void shortenDeadlines()
+    void onNodeStops()
     {
         for (const auto &each : m_requests) {
             if (each->hasRequest()) {
-                each->request().shortenDeadline();
+                each->request().onNodeStops();
             }
         }
     }
@@ -681,7 +681,7 @@
 {
     m_draining = true;
     for (auto *connection : connections()) {
-        connection->shortenDeadlines();
+        connection->onNodeStops();
     }
 }
 
--- a/src/forward/entrycontext.h
+++ b/src/forward/entrycontext.h
@@ -79,7 +79,7 @@
     /// The candidates in a data centre, by id.
     std::vector<std::string> candidatesIn(const std::string &service, const std::string &dataCentre);
     /// Requests must be answered by this time, whatever their own deadlines: this node stops. Call it once, then
-    /// EntryRequest::shortenDeadline for each running request.
+    /// EntryRequest::onNodeStops for each running request.
     void beginStopping(TimePoint latestDeadline)
     {
         m_latestDeadline = latestDeadline;
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -85,15 +85,17 @@
     m_deadlineTimer.start(m_context.loop().timers(), m_deadline - m_context.now() + DeadlineGrace, [this](TimePoint) { onDeadline(); });
 }
 
-void EntryRequest::shortenDeadline()
+void EntryRequest::onNodeStops()
 {
-    if (m_done || m_route == nullptr || m_deadline <= m_context.latestDeadline()) {
+    if (m_done || m_route == nullptr) {
         return;
     }
-    m_deadline = m_context.latestDeadline();
-    startDeadlineTimer();
+    if (m_deadline > m_context.latestDeadline()) {
+        m_deadline = m_context.latestDeadline();
+        startDeadlineTimer();
+    }
     if (m_stream) {
-        m_stream->shortenDeadline(m_deadline);
+        m_stream->onEntryStops(m_deadline);
     }
 }
 
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -43,7 +43,7 @@
     void onRequestBody(std::string_view bytes, bool last);
     bool isReadyForBody() const;
     void onAnswerBacklogReduced();
-    void shortenDeadline(); ///< to that of the EntryContext, if it is earlier
+    void onNodeStops(); ///< shortens the deadline to that of the EntryContext, and tells the exit node
     /// Cancels the running attempt; nothing is written to the AnswerWriter afterwards.
     void onCallerDisconnected();
     std::size_t heldBytes() const; ///< of the request's body and of an answer that is not passed on yet
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -96,7 +96,7 @@
         }
     }
 
-    void shortenDeadline(std::uint64_t id, TimePoint deadline)
+    void onEntryStops(std::uint64_t id, TimePoint deadline)
     {
         const auto it = m_requests.find(id);
         if (it == m_requests.end()) {
@@ -104,6 +104,7 @@
         }
         if (it->second.unsent) {
             it->second.unsent->deadline = std::min(it->second.unsent->deadline, deadline);
+            it->second.unsent->entryStops = true;
         } else if (isUp()) {
             m_tcp->write(encodeDeadline(id, deadline, m_links.m_loop.turnTime()));
         }
@@ -347,10 +348,10 @@
         }
     }
 
-    void shortenDeadline(TimePoint deadline) override
+    void onEntryStops(TimePoint deadline) override
     {
         if (const auto link = m_link.lock()) {
-            (*link)->shortenDeadline(m_id, deadline);
+            (*link)->onEntryStops(m_id, deadline);
         }
     }
 
@@ -586,7 +587,7 @@
             break;
         }
         case MeshWire::LinkMessage::Deadline:
-            shortenDeadline(*frame.message_as_Deadline(), now);
+            onEntryStops(*frame.message_as_Deadline(), now);
             break;
         case MeshWire::LinkMessage::StateNews:
             m_links.m_events.onStateNews(*frame.message_as_StateNews());
@@ -635,16 +636,16 @@
         exchange.stream = m_links.m_forwarder.open(std::move(request), exchange);
     }
 
-    void shortenDeadline(const MeshWire::Deadline &frame, TimePoint now)
+    void onEntryStops(const MeshWire::Deadline &frame, TimePoint now)
     {
         const auto deadline = now + microseconds(frame.remaining_us()) - m_offset.transitTime(frame.sent_at(), now);
         const auto it = m_exchanges.find(frame.stream());
-        if (it == m_exchanges.end() || it->second->deadline <= deadline) {
+        if (it == m_exchanges.end()) {
             return;
         }
-        it->second->deadline = deadline;
+        it->second->deadline = std::min(it->second->deadline, deadline);
         it->second->entryStops = true;
-        it->second->stream->shortenDeadline(deadline);
+        it->second->stream->onEntryStops(deadline);
         m_links.sendLargeAnswers();
     }
 
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -170,6 +170,13 @@
         }
     }
 
+    void onEntryStops(TimePoint deadline)
+    {
+        m_request.entryStops = true;
+        m_dispatcher.m_hangs.keepRunning(m_id);
+        shortenDeadline(deadline);
+    }
+
     void shortenDeadline(TimePoint deadline)
     {
         if (deadline >= m_request.deadline) {
@@ -255,7 +262,7 @@
     /// A request with a body that was not complete from the start cannot be sent to another target.
     void noteSent()
     {
-        const bool mayRunTwice = m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete;
+        const bool mayRunTwice = m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete && !m_request.entryStops;
         m_dispatcher.onSent({m_id, m_request.route, mayRunTwice, m_request.deadline});
     }
 
@@ -575,15 +582,19 @@
         }
     }
 
-    void shortenDeadline(TimePoint deadline) override
+    void onEntryStops(TimePoint deadline) override
     {
         if (m_alive.expired()) {
             return;
         }
         // Deferred, since it may end the request.
         m_dispatcher.m_loop.defer([&dispatcher = m_dispatcher, alive = m_alive, id = m_id, deadline] {
-            if (!alive.expired()) {
-                dispatcher.shortenDeadline(id, deadline);
+            if (alive.expired()) {
+                return;
+            }
+            const auto it = dispatcher.m_requests.find(id);
+            if (it != dispatcher.m_requests.end()) {
+                it->second->onEntryStops(deadline);
             }
         });
     }
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -81,7 +81,8 @@
     virtual void sendBody(std::string_view bytes, bool last) = 0;
     virtual bool isReadyForBody() const = 0; ///< if false, wait for `onReadyForBody`
     virtual void grantCredit(std::size_t bytes) = 0; ///< `bytes` more of the answer may be sent, since as many were consumed
-    virtual void shortenDeadline(TimePoint deadline) = 0; ///< the entry side gives up at this earlier time; a later one changes nothing
+    /// The entry node is stopping: it gives up at `deadline` if that is earlier, and will not turn to another target.
+    virtual void onEntryStops(TimePoint deadline) = 0;
 };
 
 class Forwarder
--- a/src/mesh/hangdetector.cpp
+++ b/src/mesh/hangdetector.cpp
@@ -12,6 +12,7 @@
 
 constexpr double RecentWeight = 0.1; ///< of the newest sample; follows a target that becomes slow
 constexpr double SteadyWeight = 0.02; ///< of the newest sample; a few fast answers in a row must not make the others look hung
+constexpr unsigned MinAnswers = 10; ///< of a kind, before their mean is its usual time; fewer may all be much faster than the next
 constexpr std::size_t MaxKinds = 1'024; ///< bounds memory; beyond this the means start over
 constexpr double SlowestDecay = 0.995; ///< per answer; the slowest of about the last hundred answers counts
 constexpr double FirstSlowest = 10; ///< multiple of the mean; assumed of a target until its answers show less
@@ -52,7 +53,6 @@
 void HangDetector::onTargetRestarted()
 {
     m_means.clear();
-    m_mean = {};
     m_answered.clear();
     m_concurrencyShownAt.clear();
     m_slowest = FirstSlowest;
@@ -148,6 +148,14 @@
     }
 }
 
+void HangDetector::keepRunning(AdmissionId id)
+{
+    const auto it = m_sent.find(id);
+    if (it != m_sent.end()) {
+        it->second.request.mayRunTwice = false;
+    }
+}
+
 bool HangDetector::isHungAtFullTarget(AdmissionId id) const
 {
     const auto it = m_sent.find(id);
@@ -183,8 +191,7 @@
 double HangDetector::meanOf(const std::string &kind) const
 {
     const auto it = m_means.find(kind);
-    const auto &mean = it == m_means.end() ? m_mean : it->second;
-    return std::max(mean.recent, mean.steady);
+    return it == m_means.end() || it->second.answers < MinAnswers ? 0 : std::max(it->second.recent, it->second.steady);
 }
 
 void HangDetector::addServiceTime(const std::string &kind, double service)
@@ -192,10 +199,10 @@
     if (m_means.size() > MaxKinds) {
         m_means.clear();
     }
-    for (auto *mean : {&m_means[kind], &m_mean}) {
-        addSample(mean->recent, service, RecentWeight);
-        addSample(mean->steady, service, SteadyWeight);
-    }
+    auto &mean = m_means[kind];
+    mean.answers = std::min(mean.answers + 1, MinAnswers);
+    addSample(mean.recent, service, RecentWeight);
+    addSample(mean.steady, service, SteadyWeight);
 }
 
 std::vector<HangVerdict> HangDetector::check(TimePoint now)
@@ -229,17 +236,22 @@
     return verdicts;
 }
 
+Duration HangDetector::minTimeOf(const Sent &sent, double mean) const
+{
+    return mean != 0 ? m_settings.minTime : std::max<Duration>(m_settings.unknownTime, (sent.request.deadline - sent.sentAt) / 2);
+}
+
 bool HangDetector::isHangTime(TimePoint now, const Sent &sent) const
 {
     const auto age = now - sent.sentAt;
-    if (sent.answerBegun || age < m_settings.minTime) {
+    const double mean = meanOf(sent.request.kind);
+    if (sent.answerBegun || age < minTimeOf(sent, mean)) {
         return false;
     }
-    const double mean = meanOf(sent.request.kind);
-    const auto latest = sent.request.deadline - RetryTime - durationOf(RetryFactor * mean);
     if (mean == 0) {
-        return age >= m_settings.unknownTime;
+        return true;
     }
+    const auto latest = sent.request.deadline - RetryTime - durationOf(RetryFactor * mean);
     const bool othersComplete = sent.answeredSince >= OthersComplete;
     const double usual = std::clamp(m_settings.slowestFactor * m_slowest, m_settings.minFactor, m_settings.maxFactor);
     const double factor = othersComplete ? usual : m_settings.maxFactor;
--- a/src/mesh/hangdetector.h
+++ b/src/mesh/hangdetector.h
@@ -5,6 +5,8 @@
 // occupies a slot until its deadline, when no time is left for another target.
 //
 // A request is taken for hung when it has no answer well beyond the usual time of its kind:
+// - while the usual time of its kind is not known, because the target has answered fewer than MinAnswers requests of it: beyond half of its own
+//   time, so that as much is left for another target. The first answers that a node sees say little, and other kinds may be faster.
 // - while others complete: beyond a multiple of the mean that follows the slowest recent answers, so that heavy tails (3 in 100 take
 //   7 times as long) and slow phases are not hangs. A target that becomes slow raises the mean by the answers that still come.
 // - while none completes since it was sent: beyond the highest such multiple, since a target that stops for a moment goes on with all of
@@ -40,7 +42,7 @@
     Duration checkPeriod = milliseconds(50); ///< ms
     Duration maxLateness = milliseconds(20); ///< ms; a check that is later shows a pause of the node
     Duration minTime = milliseconds(250); ///< ms; no request is taken for hung earlier
-    Duration unknownTime = seconds(1); ///< s; a request is taken for hung after this while the target has answered nothing yet
+    Duration unknownTime = seconds(1); ///< s; no request is taken for hung earlier while the usual time of its kind is not known
     double minFactor = 20; ///< multiple of the mean service time; lowest that is taken for hung while others complete
     double maxFactor = 30; ///< multiple of the mean service time; highest; the one while no request completes
     double slowestFactor = 1.75; ///< multiple of the slowest recent answer, itself a multiple of the mean service time
@@ -74,6 +76,7 @@
     /// `answered` is whether the target answered it; else nothing is measured.
     void onEnded(TimePoint now, AdmissionId id, bool answered);
     void onAnswerBegun(AdmissionId id); ///< it is not taken for hung any more
+    void keepRunning(AdmissionId id); ///< it is not ended any more, since no other target will get it
     /// Each request is named at most once.
     std::vector<HangVerdict> check(TimePoint now);
     TimePoint nextCheck() const; ///< TimePoint::max() while no request runs
@@ -112,12 +115,14 @@
     void recordConcurrency(TimePoint at, unsigned others);
     bool hasShownConcurrencyOf(const Sent &sent) const;
     struct Mean {
+        unsigned answers = 0; ///< up to MinAnswers
         double recent = 0; ///< s
         double steady = 0; ///< s; over about the last hundred answers
     };
 
     void addServiceTime(const std::string &kind, double service);
     double meanOf(const std::string &kind) const; ///< in seconds, the higher of both; 0: unknown
+    Duration minTimeOf(const Sent &sent, double mean) const; ///< it is not taken for hung earlier
     bool isHangTime(TimePoint now, const Sent &sent) const;
     HangVerdict judge(TimePoint now, Sent &sent);
     bool mayEnd();
@@ -128,7 +133,6 @@
     HangDetectorSettings m_settings;
     std::unordered_map<AdmissionId, Sent> m_sent; ///< by id
     std::unordered_map<std::string, Mean> m_means; ///< by kind
-    Mean m_mean; ///< over all kinds
     std::deque<Answered> m_answered; ///< recent ones, oldest first
     std::vector<TimePoint> m_concurrencyShownAt; ///< by number n; last answer to a request that ran at the same time as n others
     double m_slowest; ///< multiple of the mean; of recent answers
