Stop: a process that ends leaves unsent answers to the kernel, and resets those that would look complete

Cause: the process ended with bytes in its streams and closed all connections regularly. Change: at its end it lifts the limits of unsent bytes, passes on what the kernel takes, and discards unread input, which would turn the close into a reset. A cut answer that only the close ends is reset. answer_cut names what is really lost; node_left what is left to the kernel.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -67,15 +67,19 @@
         }
     }
 
-    const AnswerDelivery &delivery() const
+    /// Call it before this node closes the connection: logs and counts what the caller loses by that. After a regular close the kernel goes
+    /// on sending what it has; with unread input the close is a reset.
+    void logLosses(CloseReason reason)
     {
-        return m_delivery;
+        updateDelivery();
+        if (m_tcp->pendingBytes() > 0 || m_tcp->unreadBytes() > 0) {
+            logCutAnswers(reason);
+        }
+        logDiscardedInput(reason);
     }
 
-    /// Call it before this node closes the connection: logs and counts what the caller loses by that.
-    void logLosses(CloseReason reason)
+    void logCutAnswers(CloseReason reason)
     {
-        updateDelivery();
         for (const auto &answer : m_delivery.undelivered()) {
             m_server.m_cutAnswers[reason]->add();
             const auto acknowledged = std::max(m_delivery.acknowledged(), answer.begin);
@@ -88,6 +92,10 @@
                 .with("connection_unacknowledged_bytes", m_delivery.backlog().unacknowledged)
                 .with("stalled_ms", std::chrono::duration_cast<milliseconds>(now() - m_delivery.lastProgressAt()).count());
         }
+    }
+
+    void logDiscardedInput(CloseReason reason)
+    {
         if (const auto unread = m_inputEnded ? 0 : m_tcp->unreadBytes(); unread > 0) {
             m_server.m_discardedInput[reason]->add();
             logEvent(LogLevel::Warning, "input_discarded")
@@ -145,10 +153,27 @@
 
     void close()
     {
-        m_tcp->close();
+        endOutput();
         m_server.remove(*this);
     }
 
+    /// For the end of the process: ends the connection and logs what is lost by that.
+    void leaveToKernel(UndeliveredOutput &total)
+    {
+        logDiscardedInput(CloseReason::Exit);
+        const bool isCut = m_tcp->leaveToKernel() > 0;
+        updateDelivery();
+        if (isCut) {
+            logCutAnswers(CloseReason::Exit);
+        }
+        total.answers += m_delivery.undelivered().size();
+        if (!m_delivery.isDelivered()) {
+            total.backlog.pending += m_delivery.backlog().pending;
+            total.backlog.unacknowledged += m_delivery.backlog().unacknowledged;
+        }
+        endOutput();
+    }
+
     /// Answers 408 to a header that is not complete in time. Closes the connection if a body stalls, if it is idle for too long, if its
     /// caller takes nothing of an answer for as long, or when the lingering after the last answer is over.
     void checkTimeouts(TimePoint time)
@@ -523,6 +548,17 @@
 
     // Output.
 
+    /// An answer that ends with the connection looks complete after a regular close, so a cut one needs a reset.
+    void endOutput()
+    {
+        const bool isCut = !m_requests.empty() || m_tcp->pendingBytes() > 0;
+        if (m_resetsWhenDelivered || (m_delimitedByClose && isCut)) {
+            m_tcp->reset();
+        } else {
+            m_tcp->close();
+        }
+    }
+
     /// The connection is reset, so that the caller sees that its answer is incomplete.
     void dropForMemory()
     {
@@ -561,6 +597,7 @@
             const auto head = front.formatHeadOnce(closes);
             m_tcp->write(head);
             m_closing = m_closing || (!head.empty() && closes) || (front.headFormatted() && front.endsConnection());
+            m_delimitedByClose = m_delimitedByClose || (front.headFormatted() && front.endsConnection());
             m_inputEnded = m_inputEnded || m_closing;
             m_tcp->write(front.pendingBody);
             m_delivery.onHandedOver(now(), head.size() + front.pendingBody.size());
@@ -634,6 +671,7 @@
     bool m_inputEnded = false;
     bool m_closing = false; ///< an answer with `Connection: close`, or one delimited by the close, has begun
     bool m_resetsWhenDelivered = false; ///< an answer was aborted behind complete ones
+    bool m_delimitedByClose = false; ///< the close of the connection ends the answer that has begun
     bool m_flushing = false;
     bool m_used = false; ///< input was received
     std::string m_lastRequestId;
@@ -725,37 +763,14 @@
     return n;
 }
 
-void CallerHttpServer::logCutByExit()
-{
-    for (const auto &[key, connection] : m_connections) {
-        connection->logUnanswered();
-        connection->logLosses(CloseReason::Exit);
-    }
-}
-
-UndeliveredOutput CallerHttpServer::undeliveredOutput()
+UndeliveredOutput CallerHttpServer::leaveToKernel()
 {
     UndeliveredOutput total;
-    for (const auto &[key, connection] : m_connections) {
-        connection->updateDelivery();
-        const auto &delivery = connection->delivery();
-        if (delivery.isDelivered()) {
-            continue;
-        }
-        total.answers += delivery.undelivered().size();
-        total.backlog.pending += delivery.backlog().pending;
-        total.backlog.unacknowledged += delivery.backlog().unacknowledged;
-    }
-    return total;
-}
-
-void CallerHttpServer::closeIdle()
-{
     for (auto *connection : connections()) {
-        if (connection->isIdle()) {
-            connection->close();
-        }
+        connection->logUnanswered();
+        connection->leaveToKernel(total);
     }
+    return total;
 }
 
 void CallerHttpServer::updateMemoryAccounts()
--- a/src/forward/callerhttpserver.h
+++ b/src/forward/callerhttpserver.h
@@ -43,11 +43,9 @@
     std::size_t requestsInFlight();
     /// Updates the memory accounts of all connections. Call it from time to time and before MemoryBudget::enforce.
     void updateMemoryAccounts();
-    /// Logs a line for each request, answer and unread input that the end of the process cuts.
-    void logCutByExit();
-    UndeliveredOutput undeliveredOutput();
-    /// Closes connections that have no request and no unsent output.
-    void closeIdle();
+    /// For the end of the process, once the loop has ended: ends all connections and leaves to the kernel what it takes of their output. Logs
+    /// a line for each request and answer that is cut by that, and returns what was not delivered.
+    UndeliveredOutput leaveToKernel();
     TimePoint lastRequestAt() const
     {
         return m_lastRequestAt;
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -241,9 +241,10 @@
 {
     m_loop.run();
     m_store->stop();
-    const auto undelivered = m_callerServer->undeliveredOutput();
+    const auto inFlight = m_callerServer->requestsInFlight();
+    const auto undelivered = m_callerServer->leaveToKernel();
     logEvent(LogLevel::Info, "node_left")
-        .with("in_flight", m_callerServer->requestsInFlight())
+        .with("in_flight", inFlight)
         .with("undelivered_answers", undelivered.answers)
         .with("unsent_bytes", undelivered.backlog.pending)
         .with("unacknowledged_bytes", undelivered.backlog.unacknowledged);
@@ -905,8 +906,6 @@
         return;
     }
     m_stopTimer.cancel();
-    m_callerServer->logCutByExit();
-    m_callerServer->closeIdle();
     m_loop.stop();
 }
 
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <limits>
 #include <utility>
 
 namespace Fescuenotch {
@@ -329,6 +330,37 @@
     }
 }
 
+std::size_t TcpStream::leaveToKernel()
+{
+    if (m_fd < 0) {
+        return 0;
+    }
+    constexpr int NoLimit = std::numeric_limits<int>::max(); // the kernel uses its own limit
+    setIntOption(m_fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, NoLimit);
+    sendPending();
+    if (pendingBytes() > 0) {
+        setIntOption(m_fd, SOL_SOCKET, SO_SNDBUF, NoLimit / 2); // it doubles the value
+        sendPending();
+    }
+    static thread_local std::array<char, ReadBufferBytes> discarded;
+    for (std::size_t n = 0; n<MaxReadPerTurnBytes && ::recv(m_fd, discarded.data(), discarded.size(), 0)> 0;) {
+        n += discarded.size();
+    }
+    return pendingBytes();
+}
+
+void TcpStream::sendPending()
+{
+    while (pendingBytes() > 0) {
+        const auto n = ::send(m_fd, m_output.data() + m_sentBytes, pendingBytes(), MSG_NOSIGNAL);
+        if (n > 0) {
+            m_sentBytes += static_cast<std::size_t>(n);
+        } else if (errno != EINTR) {
+            return;
+        }
+    }
+}
+
 void TcpStream::close()
 {
     if (m_fd < 0) {
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -79,6 +79,9 @@
     void pauseInput();
     void resumeInput();
     void shutdownOutput(); ///< sends the queued output, then shuts down the sending side; input continues
+    /// For the end of the process: passes as much output to the kernel as it takes, and discards unread input, which would turn the close into a
+    /// reset. The kernel goes on sending without the process. Returns the bytes of output that the kernel did not take.
+    std::size_t leaveToKernel();
     void close(); ///< drops queued output
     void reset(); ///< aborts with RST, so that the remote side does not mistake the end for a regular one
 
@@ -89,6 +92,7 @@
     TcpStream(EventLoop &loop, int fd, StreamEvents &events, const StreamOptions &options, bool connected);
     void readAll();
     void scheduleFlush();
+    void sendPending(); ///< as much as the kernel takes now
     void finishConnect();
     void closeAndNotify(CloseCause cause); ///< resets unless the stream ended regularly; may destroy this object
 
