Hang detection: the last attempt of a request keeps its whole time

Cause: the exit node ends a hung request for the sake of another target and does not know whether the entry node may turn to one: the route's attempts or the retry budget may be used up. Change: the entry node says with each attempt whether it is the last (field last_attempt of Open); such a request is not ended. What remains: a budget that empties between the send and the end.

--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -209,6 +209,7 @@
     request.body = m_body;
     request.bodyComplete = m_bodyComplete;
     request.entryStops = m_context.isStopping();
+    request.isLastAttempt = m_streaming || !m_context.retryPolicy.mayRetry(m_context.now(), *m_route, m_service, m_retryState);
     request.fingerprint = m_fingerprint;
     request.targetRequestRate = m_context.loadBalancer.requestRateOf(m_target->id);
     if (m_bodyComplete && !m_streaming) {
--- a/src/forward/linkcodec.cpp
+++ b/src/forward/linkcodec.cpp
@@ -298,7 +298,8 @@
                                             request.bodyComplete,
                                             request.entryStops,
                                             encodeRequestRate(request.targetRequestRate),
-                                            request.fingerprint));
+                                            request.fingerprint,
+                                            request.isLastAttempt));
 }
 
 std::string encodeRequestBody(std::uint64_t stream, std::string_view bytes, bool last)
@@ -408,6 +409,7 @@
     request.bodyComplete = open.whole();
     request.entryStops = open.entry_stops();
     request.fingerprint = open.fingerprint();
+    request.isLastAttempt = open.last_attempt();
     request.targetRequestRate = decodeRequestRate(open.target_rate_milli());
     request.fromPeer = true;
     return request;
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -259,10 +259,11 @@
         }
     }
 
-    /// A request with a body that was not complete from the start cannot be sent to another target.
+    /// A request with a body that was not complete from the start cannot be sent to another target. One that its entry node will not send again
+    /// would only be answered with an error while the target works on it.
     void noteSent()
     {
-        const bool mayRunTwice = m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete && !m_request.entryStops;
+        const bool mayRunTwice = m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete && !m_request.entryStops && !m_request.isLastAttempt;
         m_dispatcher.onSent({m_id, m_request.route, mayRunTwice, m_request.deadline});
     }
 
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -45,6 +45,7 @@
     std::optional<double>
         targetRequestRate; ///< rate limit of the target in requests per second, as last reported to the entry node; for an exit node that has just started
     Fingerprint fingerprint = 0; ///< equal for requests with the same host, path, method and body; 0: not known
+    bool isLastAttempt = false; ///< the entry node will not send it to another target, so the target's work is worth waiting for
     bool entryStops = false; ///< the entry node is stopping; the deadline is not later than its end
     bool fromPeer = false; ///< the answer is sent over this host's uplink to a peer; set by the exit node
 };
@@ -81,7 +82,7 @@
     virtual void sendBody(std::string_view bytes, bool last) = 0;
     virtual bool isReadyForBody() const = 0; ///< if false, wait for `onReadyForBody`
     virtual void grantCredit(std::size_t bytes) = 0; ///< `bytes` more of the answer may be sent, since as many were consumed
-    /// The entry node is stopping: it gives up at `deadline` if that is earlier, and will not turn to another target.
+    /// The entry node is stopping: it gives up at `deadline` if that is earlier, and the request is not to be ended for another target.
     virtual void onEntryStops(TimePoint deadline) = 0;
 };
 
--- a/src/mesh/hangdetector.h
+++ b/src/mesh/hangdetector.h
@@ -6,7 +6,7 @@
 //
 // A request is taken for hung when it has no answer well beyond the usual time of its kind:
 // - while the usual time of its kind is not known, because the target has answered fewer than MinAnswers requests of it: beyond half of its own
-//   time, so that as much is left for another target. The first answers that a node sees say little, and other kinds may be faster.
+//   time, one second at least. The first answers that a node sees say little, and other kinds may be faster.
 // - while others complete: beyond a multiple of the mean that follows the slowest recent answers, so that heavy tails (3 in 100 take
 //   7 times as long) and slow phases are not hangs. A target that becomes slow raises the mean by the answers that still come.
 // - while none completes since it was sent: beyond the highest such multiple, since a target that stops for a moment goes on with all of
@@ -54,7 +54,7 @@
 struct SentRequest {
     AdmissionId id = 0;
     std::string kind; ///< name of the route
-    bool mayRunTwice = false; ///< idempotent, so that another target may get it
+    bool mayRunTwice = false; ///< another target will get it if it is ended
     TimePoint deadline;
 };
 
@@ -76,7 +76,7 @@
     /// `answered` is whether the target answered it; else nothing is measured.
     void onEnded(TimePoint now, AdmissionId id, bool answered);
     void onAnswerBegun(AdmissionId id); ///< it is not taken for hung any more
-    void keepRunning(AdmissionId id); ///< it is not ended any more, since no other target will get it
+    void keepRunning(AdmissionId id); ///< it is not ended any more
     /// Each request is named at most once.
     std::vector<HangVerdict> check(TimePoint now);
     TimePoint nextCheck() const; ///< TimePoint::max() while no request runs
--- a/src/mesh/meshretrypolicy.cpp
+++ b/src/mesh/meshretrypolicy.cpp
@@ -73,4 +73,9 @@
     return allowed ? NextStep::Retry : NextStep::End;
 }
 
+bool MeshRetryPolicy::mayRetry(TimePoint now, const MeshRoute &route, const std::string &service, const MeshRetryState &state)
+{
+    return isIdempotent(route) && state.offered + 1 < route.maxAttempts && budgetOf(service).covers(now, 0);
+}
+
 } // namespace Fescuenotch
--- a/src/mesh/meshretrypolicy.h
+++ b/src/mesh/meshretrypolicy.h
@@ -62,6 +62,8 @@
     void onRequest(TimePoint now, const std::string &service);
     /// Also updates `state`. A Retry takes one token from the service's budget.
     NextStep next(TimePoint now, TimePoint deadline, const MeshRoute &route, const std::string &service, const DeliveryResult &end, MeshRetryState &state);
+    /// Whether a Retry would be allowed if the delivery that begins now failed at once with an unknown outcome.
+    bool mayRetry(TimePoint now, const MeshRoute &route, const std::string &service, const MeshRetryState &state);
 
 private:
     RetryBudget &budgetOf(const std::string &service);
--- a/src/request/retrybudget.cpp
+++ b/src/request/retrybudget.cpp
@@ -43,7 +43,12 @@
     ++bucketAt(now).requests;
 }
 
-bool RetryBudget::tryConsume(TimePoint now, unsigned depth)
+double RetryBudget::costOf(unsigned depth)
+{
+    return std::exp2(std::min(depth, MaxCostDepth));
+}
+
+bool RetryBudget::covers(TimePoint now, unsigned depth)
 {
     auto &current = bucketAt(now);
     double allowed = m_minPerSecond * static_cast<double>(WindowSeconds);
@@ -54,11 +59,15 @@
             spent += bucket.spent;
         }
     }
-    const double cost = std::exp2(std::min(depth, MaxCostDepth));
-    if (spent + cost > allowed) {
+    return spent + costOf(depth) <= allowed;
+}
+
+bool RetryBudget::tryConsume(TimePoint now, unsigned depth)
+{
+    if (!covers(now, depth)) {
         return false;
     }
-    current.spent += cost;
+    bucketAt(now).spent += costOf(depth);
     return true;
 }
 
--- a/src/request/retrybudget.h
+++ b/src/request/retrybudget.h
@@ -22,6 +22,7 @@
     /// Changes the limits; what was counted stays.
     void configure(double share, double minPerSecond);
     void onRequest(TimePoint now);
+    bool covers(TimePoint now, unsigned depth); ///< the cost of one retry at `depth`
     /// Consumes the cost of one retry at `depth`. False when the budget does not cover it; then nothing is consumed.
     bool tryConsume(TimePoint now, unsigned depth);
 
@@ -35,6 +36,7 @@
     static constexpr std::size_t WindowSeconds = 10;
 
     Bucket &bucketAt(TimePoint now);
+    static double costOf(unsigned depth);
 
     double m_share;
     double m_minPerSecond;
--- a/src/wire/mesh_generated.h
+++ b/src/wire/mesh_generated.h
@@ -956,7 +956,8 @@
     VT_WHOLE = 36,
     VT_ENTRY_STOPS = 38,
     VT_TARGET_RATE_MILLI = 40,
-    VT_FINGERPRINT = 42
+    VT_FINGERPRINT = 42,
+    VT_LAST_ATTEMPT = 44
   };
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
@@ -1018,6 +1019,9 @@
   uint64_t fingerprint() const {
     return GetField<uint64_t>(VT_FINGERPRINT, 0);
   }
+  bool last_attempt() const {
+    return GetField<uint8_t>(VT_LAST_ATTEMPT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
@@ -1049,6 +1053,7 @@
            VerifyField<uint8_t>(verifier, VT_ENTRY_STOPS, 1) &&
            VerifyField<uint64_t>(verifier, VT_TARGET_RATE_MILLI, 8) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LAST_ATTEMPT, 1) &&
            verifier.EndTable();
   }
 };
@@ -1117,6 +1122,9 @@
   void add_fingerprint(uint64_t fingerprint) {
     fbb_.AddElement<uint64_t>(Open::VT_FINGERPRINT, fingerprint, 0);
   }
+  void add_last_attempt(bool last_attempt) {
+    fbb_.AddElement<uint8_t>(Open::VT_LAST_ATTEMPT, static_cast<uint8_t>(last_attempt), 0);
+  }
   explicit OpenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1154,7 +1162,8 @@
     bool whole = false,
     bool entry_stops = false,
     uint64_t target_rate_milli = 18446744073709551615ULL,
-    uint64_t fingerprint = 0) {
+    uint64_t fingerprint = 0,
+    bool last_attempt = false) {
   OpenBuilder builder_(_fbb);
   builder_.add_fingerprint(fingerprint);
   builder_.add_target_rate_milli(target_rate_milli);
@@ -1172,6 +1181,7 @@
   builder_.add_target(target);
   builder_.add_service(service);
   builder_.add_request_id(request_id);
+  builder_.add_last_attempt(last_attempt);
   builder_.add_entry_stops(entry_stops);
   builder_.add_whole(whole);
   builder_.add_has_length(has_length);
@@ -1200,7 +1210,8 @@
     bool whole = false,
     bool entry_stops = false,
     uint64_t target_rate_milli = 18446744073709551615ULL,
-    uint64_t fingerprint = 0) {
+    uint64_t fingerprint = 0,
+    bool last_attempt = false) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -1230,7 +1241,8 @@
       whole,
       entry_stops,
       target_rate_milli,
-      fingerprint);
+      fingerprint,
+      last_attempt);
 }
 
 struct RequestBody FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/forward/delivery_test.cpp
+++ b/tests/forward/delivery_test.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t SentOfBrokenAnswer = 1'150'000; ///< bytes
 constexpr int ReceiveBuffer = 8 * 1024; ///< bytes; so that an answer waits in the node and not in the test's sockets
 constexpr std::size_t SlowRate = 200'000; ///< bytes a second; three seconds for an answer
+constexpr std::size_t MaxAttempts = 2; ///< of all routes
 constexpr milliseconds ReadLimit{8'000}; ///< ms
 
 struct DeliveryFixture : MeshFixture {
@@ -110,7 +111,7 @@
 }
 
 /// Guards against an error for a request at which its target is at work: the run takes long, and the exit node takes it for hung. Two requests
-/// are at work, one from before the stop and one from after it began.
+/// are at work, one from before the stop, with a deadline before the node's end, and one from after it began.
 BOOST_AUTO_TEST_CASE(stop_targetTakesLongerThanUsual_requestsAreNotGivenUp)
 {
     addNode("feed");
@@ -121,7 +122,7 @@
     target(2).setBehaviour([this](const Standins::ServerCall &call) { return target(2).delayedReply(call, milliseconds(1'200)); });
     auto before = RawSocket::connectTo(callerEndpoint(0));
     auto after = RawSocket::connectTo(callerEndpoint(0));
-    before.send(request("GET", "/feed/a", "id-a"));
+    before.send(request("GET", "/feed/a", "id-a", std::string(TimeLeftHeader) + ": 1900\r\n"));
     std::this_thread::sleep_for(milliseconds(100));
     node(0).beginStop();
     std::this_thread::sleep_for(milliseconds(50));
@@ -130,6 +131,26 @@
         const auto answer = socket->receiveAnswer();
         BOOST_TEST(contains(answer, "200 OK"), answer.substr(0, 300));
     }
+    BOOST_TEST(metric(2, "fescuenotch_target_hung_total{ended=\"0\"}") == "2");
+}
+
+/// Guards against an error for a request at which its target is at work: the exit nodes end it as hung for the sake of another target, and the
+/// entry node may not send it to a further one. A stop a moment later makes that a cut request (issue 46).
+BOOST_AUTO_TEST_CASE(request_allTargetsTakeLongerThanUsual_lastAttemptIsNotGivenUp)
+{
+    const auto setDelay = [this](milliseconds delay) {
+        for (std::size_t n = 0; n < MaxAttempts; ++n) {
+            target(n).setBehaviour([this, n, delay](const Standins::ServerCall &call) { return target(n).delayedReply(call, delay); });
+        }
+    };
+    setDelay(milliseconds(5));
+    {
+        const SteadyCallers callers(*this, 1, 4, milliseconds(1)); // so many at once that both targets learn their usual time
+        BOOST_REQUIRE(waitUntil([this] { return target(0).requests().size() > 50 && target(1).requests().size() > 50; }));
+    }
+    setDelay(milliseconds(1'200));
+    const auto answer = get(0, "/read/a");
+    BOOST_TEST(contains(answer, "200 OK"), answer.substr(0, 300));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/forward/linkcodec_test.cpp
+++ b/tests/forward/linkcodec_test.cpp
@@ -77,4 +77,13 @@
     BOOST_TEST(sendRequest(request).targetRequestRate.value() == 0.5);
 }
 
+/// Guards against an exit node that takes each attempt for the last, or none.
+BOOST_AUTO_TEST_CASE(request_isLastAttempt_arrivesUnchanged)
+{
+    ForwardRequest request;
+    BOOST_TEST(!sendRequest(request).isLastAttempt);
+    request.isLastAttempt = true;
+    BOOST_TEST(sendRequest(request).isLastAttempt);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/mesh/meshretrypolicy_test.cpp
+++ b/tests/mesh/meshretrypolicy_test.cpp
@@ -54,6 +54,22 @@
     BOOST_TEST((next(Outcome::NotRun, false) == NextStep::End));
 }
 
+/// Guards against an exit node that ends a run for another target although the entry node may not turn to one.
+BOOST_AUTO_TEST_CASE(mayRetry_lastAttemptOrBudgetUsedUp_isFalse)
+{
+    BOOST_TEST(policy.mayRetry(now, route, "desk", state));
+    BOOST_TEST((next(Outcome::Unknown, true) == NextStep::Retry));
+    BOOST_TEST(!policy.mayRetry(now, route, "desk", state));
+    state = {};
+    while (policy.next(now, deadline, route, "desk", {Outcome::Unknown, Reason::TargetBroke, true, false, 0}, state) == NextStep::Retry) {
+        state = {};
+    }
+    BOOST_TEST(!policy.mayRetry(now, route, "desk", {}));
+    route.kind = RouteKind::NotIdempotent;
+    policy.configure(MeshRetrySettings{});
+    BOOST_TEST(!policy.mayRetry(now + seconds(20), route, "desk", {}));
+}
+
 BOOST_AUTO_TEST_CASE(next_nonIdempotentWithUnknownOutcome_endsAndMayHaveRun)
 {
     route.kind = RouteKind::NotIdempotent;
