Callers: an answer that the kernel gives up on is logged and counted as cut

A caller that takes nothing of its answer for 4 s loses it without a line: the kernel ends the connection (TCP_USER_TIMEOUT also bounds probes of a closed window; found by the review). Change: closed_by=unresponsive in answer_cut and its counter. The time stays: it also finds dead hosts.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -38,6 +38,8 @@
         return "idle";
     case CallerHttpServer::CloseReason::Stalled:
         return "stalled";
+    case CallerHttpServer::CloseReason::Unresponsive:
+        return "unresponsive";
     case CallerHttpServer::CloseReason::Stop:
         return "stop";
     case CallerHttpServer::CloseReason::Exit:
@@ -231,8 +233,11 @@
         }
     }
 
-    void onClosed(CloseCause) override
+    void onClosed(CloseCause cause) override
     {
+        if (cause == CloseCause::TimedOut) {
+            logCutAnswers(CloseReason::Unresponsive);
+        }
         for (const auto &each : m_requests) {
             if (each->hasRequest()) {
                 each->request().onCallerDisconnected();
@@ -689,7 +694,7 @@
     for (const auto *reason : {"bad-request", "too-large", "slow-head", "leaving"}) {
         m_refusals[reason] = &metrics.counter("fescuenotch_entry_malformed_total", "Requests that were refused before they had a route.", {{"reason", reason}});
     }
-    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::Stop, CloseReason::Exit}) {
+    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::Unresponsive, CloseReason::Stop, CloseReason::Exit}) {
         const Labels labels{{"closed_by", closeReasonName(reason)}};
         m_cutAnswers[reason] = &metrics.counter("fescuenotch_entry_cut_answers_total",
                                                 "Complete answers whose connection this node closed before the caller's host had acknowledged them.",
--- a/src/forward/callerhttpserver.h
+++ b/src/forward/callerhttpserver.h
@@ -29,7 +29,7 @@
 class CallerHttpServer
 {
 public:
-    enum class CloseReason { Linger, Idle, Stalled, Stop, Exit };
+    enum class CloseReason { Linger, Idle, Stalled, Unresponsive, Stop, Exit };
 
     CallerHttpServer(EntryContext &context, MetricsRegistry &metrics);
     ~CallerHttpServer();
--- a/tests/forward/delivery_test.cpp
+++ b/tests/forward/delivery_test.cpp
@@ -94,6 +94,14 @@
     BOOST_TEST(!contains(answers, "502"));
 }
 
+/// Guards against a cut that no line or counter shows: the kernel ends the connection of a caller that takes nothing for 4 s.
+BOOST_AUTO_TEST_CASE(answer_callerStopsReading_countsAsCut)
+{
+    auto socket = connectSlowReader();
+    socket.send(request("GET", "/read/large", "id-1"));
+    BOOST_TEST(waitUntil([this] { return metric(0, "fescuenotch_entry_cut_answers_total{closed_by=\"unresponsive\"}") == "1"; }, seconds(10)));
+}
+
 // ---- [stop] -----------------------------------------------------------------------------------------------------
 
 /// Guards against answers that a stopping node cuts although it has time to deliver them.
