Streams: a slow, steady caller is not taken for gone, and what a target sent before its close is read

Callers' streams have no such limit now; checkTimeouts closes a caller that takes nothing. - The end of a target's connection was reported while this node's input was paused for a slow caller, and what the kernel held of the answer was lost. For targets the end is now seen after the input before it.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -19,7 +19,9 @@
 /// can make the caller lose the answer.
 constexpr milliseconds LingerTimeout{1'000};
 /// 128 KB unsent in the kernel keep a fast link busy; the rest of an answer that is read slowly is counted by the MemoryBudget.
-constexpr StreamOptions CallerStreamOptions{milliseconds(1'000), milliseconds(4'000), 128 * 1024};
+/// Connection::checkTimeouts closes the connection of a caller that takes nothing.
+constexpr StreamOptions CallerStreamOptions{
+    .connectTimeout = milliseconds(1'000), .unresponsiveTimeout = milliseconds(4'000), .limitsClosedWindow = false, .maxUnsentBytes = 128 * 1024};
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool expectsContinue(const MessageHead &head)
--- a/src/forward/targetconnection.cpp
+++ b/src/forward/targetconnection.cpp
@@ -42,7 +42,7 @@
     : m_loop(loop)
     , m_headers(headers)
     , m_onIdleClosed(std::move(onIdleClosed))
-    , m_stream(TcpStream::connect(loop, target, *this))
+    , m_stream(TcpStream::connect(loop, target, *this, {.readsToEnd = true}))
     , m_reader(MessageReader::Kind::Response, AnswerLimits)
 {
 }
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -61,7 +61,9 @@
     setIntOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, interval);
     setIntOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, interval);
     setIntOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
-    setIntOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.unresponsiveTimeout.count()));
+    if (options.limitsClosedWindow) {
+        setIntOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.unresponsiveTimeout.count()));
+    }
     if (options.maxUnsentBytes > 0) {
         setIntOption(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, options.maxUnsentBytes);
     }
@@ -129,6 +131,7 @@
     , m_events(events)
     , m_fd(fd)
     , m_connected(connected)
+    , m_readsToEnd(options.readsToEnd)
     , m_self(std::make_shared<TcpStream *>(this))
 {
     if (fd >= 0) {
@@ -187,6 +190,8 @@
     m_readable = true;
     if (!m_paused) {
         readAll();
+    } else if (m_readsToEnd && (events & EPOLLERR) == 0 && unreadBytes() > 0) {
+        return; // the end is seen when input is resumed
     } else if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
         closeAndNotify((events & EPOLLERR) != 0 ? CloseCause::Reset : CloseCause::EndOfStream);
     }
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -43,6 +43,11 @@
 struct StreamOptions {
     milliseconds connectTimeout{1'000}; ///< ms; for outgoing connections
     milliseconds unresponsiveTimeout{4'000}; ///< ms; closes the connection when data or keep-alive probes stay unacknowledged this long
+    /// False: the owner watches whether its output moves. A receiver that reads slowly keeps its window closed most of the time, which the kernel
+    /// takes for unresponsive.
+    bool limitsClosedWindow = true;
+    /// True: what the remote side sent before it closed the connection is read first, also if input is paused when it closes.
+    bool readsToEnd = false;
     int maxUnsentBytes = 0; ///< bytes of output that the kernel holds beyond what is in flight; the rest stays in `pendingBytes`. 0: no limit
 };
 
@@ -101,6 +106,7 @@
     int m_fd;
     WatchId m_watch = 0;
     bool m_connected;
+    bool m_readsToEnd;
     bool m_paused = false;
     bool m_readable = false; ///< the kernel may hold unread input
     bool m_flushScheduled = false;
