Server for callers: the end of a connection waits for the delivery of its last answer

Cause: a connection was closed at the hand-over of its last answer to the kernel, or 1 s after it for an answer in the middle of a request body. What its caller had sent meanwhile, or sent next, made the close a reset, and the kernel discarded what it still held of the answer. Change: after an answer that ends its connection, input is read and discarded until the caller's host has acknowledged all, and for 1 s after that, on the connection's own thread. The session counts as in flight until then.

--- a/src/plugins/callerconnection.cpp
+++ b/src/plugins/callerconnection.cpp
@@ -151,6 +151,8 @@
         return refuse(*refusal);
     }
     const auto framing = bodyFraming(head.headers);
+    const auto *connectionHeader = findHeader(head.headers, "Connection");
+    m_callerCloses = connectionHeader != nullptr && sameHeaderName(*connectionHeader, "close");
     m_chunksUnderstood = head.version == "HTTP/1.1";
     m_request = {head.method, head.uri, std::move(head.headers), framing.length, framing.chunked || framing.length.value_or(0) > 0, Clock::now()};
     removeHopByHopHeaders(m_request.headers);
@@ -220,6 +222,8 @@
         m_shared.counters.brokenAnswers->add();
     } else if (!whole && !m_answeredDirectly) {
         m_shared.counters.connectionsLost->add();
+    } else if (whole && m_endsConnection) {
+        endOutput(m_socket->fd(), m_shared.limits.stallLimit); // the session counts as in flight until then
     }
 }
 
@@ -288,7 +292,9 @@
             MHD_add_response_header(answer, h.name.c_str(), h.value.c_str());
         }
     }
-    if (m_shared.closing) {
+    const bool closing = m_shared.closing;
+    m_endsConnection = m_callerCloses || closing;
+    if (closing) {
         MHD_add_response_header(answer, "Connection", "close");
     }
     const auto result = MHD_queue_response(m_connection, response.status, answer);
--- a/src/plugins/callerconnection.h
+++ b/src/plugins/callerconnection.h
@@ -91,6 +91,8 @@
     bool m_headSeen = false;
     bool m_answered = false; ///< an answer of ours was queued or written
     bool m_answeredDirectly = false; ///< written past the library
+    bool m_callerCloses = false; ///< the request has Connection: close
+    bool m_endsConnection = false; ///< the library closes the connection after the answer
     bool m_chunksUnderstood = true; ///< false for HTTP/1.0
     bool m_endsByClose = false; ///< only the end of the connection ends the answer's body
     bool m_answerBroken = false; ///< its body ended too early
--- a/src/plugins/directanswer.cpp
+++ b/src/plugins/directanswer.cpp
@@ -3,19 +3,23 @@
 #include <microhttpd.h>
 #include <nlohmann/json.hpp>
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <cerrno>
 #include <cstdio>
+#include <utility>
 
 namespace Fescuenotch {
 
 namespace {
 
 constexpr std::size_t PieceBytes = 65'536; ///< bytes read and written at a time
-constexpr milliseconds LingerLimit{1'000}; ///< ms; longest time that input is discarded after the answer
+constexpr milliseconds LingerLimit{1'000}; ///< ms; longest time that input is discarded after the answer was delivered
+constexpr milliseconds DeliveryPoll{50}; ///< ms; between looks at what is delivered
 
 bool waitFor(int fd, short events, milliseconds limit)
 {
@@ -74,23 +78,42 @@
     }
 }
 
-void discardInput(int fd)
+/// False when no more input can come.
+bool discardInput(int fd, std::span<char> buf)
 {
+    if (!waitFor(fd, POLLIN, DeliveryPoll)) {
+        return true;
+    }
+    const auto n = ::recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
+    return n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
+}
+
+} // namespace
+
+std::size_t unacknowledgedBytes(int fd)
+{
+    int bytes = 0;
+    return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+void endOutput(int fd, milliseconds stallLimit)
+{
+    ::shutdown(fd, SHUT_WR);
     std::vector<char> buf(PieceBytes);
-    const auto until = Clock::now() + LingerLimit;
-    for (auto now = Clock::now(); now < until; now = Clock::now()) {
-        if (!waitFor(fd, POLLIN, std::chrono::duration_cast<milliseconds>(until - now) + milliseconds(1))) {
-            return;
+    auto left = unacknowledgedBytes(fd);
+    auto lastProgress = Clock::now();
+    while (discardInput(fd, buf)) {
+        const auto now = Clock::now();
+        const auto before = std::exchange(left, unacknowledgedBytes(fd));
+        if (left < before) {
+            lastProgress = now;
         }
-        const auto n = ::recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
-        if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) {
+        if (now - lastProgress > (left == 0 ? LingerLimit : stallLimit)) {
             return;
         }
     }
 }
 
-} // namespace
-
 void writeDirectAnswer(int fd, CallerResponse response, bool isHead, milliseconds stallLimit)
 {
     const bool chunked = response.body && !response.bodyLength;
@@ -100,8 +123,7 @@
         whole = response.body ? writeBody(fd, *response.body, chunked, stallLimit) : writeAll(fd, response.text, stallLimit);
     }
     if (whole) {
-        ::shutdown(fd, SHUT_WR);
-        discardInput(fd);
+        endOutput(fd, stallLimit);
     }
 }
 
--- a/tests/plugins/callerfixture.cpp
+++ b/tests/plugins/callerfixture.cpp
@@ -42,14 +42,14 @@
 }
 
 /// /slowupload: pauses while it reads. /early: wants no more after the first piece. /wait: until released.
-/// /body?size=N[&chunked=1][&break=N]: N bytes. Any other path: its own text.
+/// /body?size=N[&chunked=1][&break=N] and /early?size=N: N bytes. Any other path: its own text.
 CallerResponse answerFor(const CallerRequest &request)
 {
     CallerResponse response;
     response.status = static_cast<unsigned>(numberIn(request.path, "status", 200));
     response.headers = {{"Fescuenotch-Outcome", "ran"}, {"X-Path", request.path}, {"Keep-Alive", "timeout=9"}};
     response.text = request.method + " " + request.path;
-    if (request.path.rfind("/body", 0) == 0) {
+    if (request.path.rfind("/body", 0) == 0 || request.path.rfind("/early?", 0) == 0) {
         const auto size = numberIn(request.path, "size", 0);
         response.body = std::make_unique<CountedBody>(size, numberIn(request.path, "break", size));
         response.bodyLength = numberIn(request.path, "chunked", 0) == 1 ? std::nullopt : std::optional(size);
@@ -84,7 +84,7 @@
         auto &seen = m_handler.m_seen[m_number];
         seen.bodyBytes += piece.size();
         seen.body.append(piece.data(), std::min(piece.size(), KeptBody - std::min(KeptBody, seen.body.size())));
-        return m_request.path != "/early";
+        return m_request.path.rfind("/early", 0) != 0;
     }
 
     CallerResponse respond(const std::function<bool()> &callerLeft) override
