Server for callers: a steady reader is not taken for stalled

Cause: the kernel takes megabytes of an answer and reports room again only when a third of them is read. A caller that reads steadily, but needs longer for that third than the stall limit, was cut.

--- a/src/plugins/callerhttp.cpp
+++ b/src/plugins/callerhttp.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t MinPoolBytes = 131'072; ///< bytes of head and buffers for each connection
 constexpr std::size_t PoolHeadFactor = 4; ///< pool size in header caps
 constexpr std::size_t ThreadStackBytes = 1'048'576; ///< bytes
+/// Bytes that the kernel holds beyond what is in flight. Without this limit it takes megabytes and asks for more only when a third of them is
+/// read, so a steady but slow reader looks stalled.
+constexpr int MaxUnsentBytes = 128 * 1024;
 constexpr milliseconds SweepPeriod{500}; ///< ms; between looks for slow heads
 
 class HttpCallerServer final : public CallerServer
@@ -149,6 +152,7 @@
         const int fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
         const int on = 1;
         ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        ::setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &MaxUnsentBytes, sizeof MaxUnsentBytes);
         auto state = std::make_unique<CallerConnection>(fd);
         const std::lock_guard lock(m_connectionsMutex);
         m_connections.insert(state.get());
--- a/tests/plugins/delivery_test.cpp
+++ b/tests/plugins/delivery_test.cpp
@@ -85,6 +85,16 @@
     BOOST_TEST(bodyBytes(answer) == LargeAnswerBytes);
 }
 
+/// Guards against the same for an answer in the middle of a request's body.
+BOOST_AUTO_TEST_CASE(answer_inTheMiddleOfARequestBodyIsReadSteadily_isComplete)
+{
+    start({seconds(1), seconds(60)});
+    auto socket = connect(ReceiveBuffer);
+    socket.send("POST /early?size=" + std::to_string(LargeAnswerBytes) + " HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\nhello");
+    const auto answer = socket.receiveAtRate(SteadyRate, ReadLimit);
+    BOOST_TEST(bodyBytes(answer) == LargeAnswerBytes);
+}
+
 /// Guards against an answer that the sweep for slow heads cuts: the time for the next head counts from the hand-over of an answer.
 BOOST_AUTO_TEST_CASE(answer_onKeptConnectionIsReadLongerThanTheHeadLimit_isComplete)
 {
