Peer links: a stop waits for what the kernel holds, not only for the link's own queue

Cause: the flush at a stop asked for queued bytes only. The close with unread heartbeats of the peer, or their arrival after it, made the kernel discard an answer that the peer had not read. Change: it asks for unacknowledged bytes too. The limit of 300 ms stays.

--- a/src/plugins/peerlink/link.cpp
+++ b/src/plugins/peerlink/link.cpp
@@ -3,8 +3,10 @@
 
 #include "kernel/socketaddress.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -505,10 +507,11 @@
     return m_closed;
 }
 
-bool Link::hasQueued() const
+bool Link::hasUndelivered() const
 {
     const std::lock_guard lock(m_mutex);
-    return !m_closed && (!m_out.empty() || !m_held.empty());
+    int unacknowledged = 0;
+    return !m_closed && (!m_out.empty() || !m_held.empty() || (::ioctl(m_fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0));
 }
 
 Endpoint Link::peer() const
--- a/src/plugins/peerlink/link.h
+++ b/src/plugins/peerlink/link.h
@@ -63,7 +63,7 @@
     void onWake(TimePoint now);
     void close(LinkEnd end, const std::string &detail);
     bool isClosed() const;
-    bool hasQueued() const;
+    bool hasUndelivered() const; ///< queued here, or not acknowledged by the peer's host
     Endpoint peer() const; ///< known from the start when dialed, after its Hello when accepted
     bool dialed() const
     {
--- a/src/plugins/peerlink/transport.cpp
+++ b/src/plugins/peerlink/transport.cpp
@@ -28,7 +28,7 @@
 constexpr Duration FirstDialPause = milliseconds(50); ///< after a failed dial; doubles
 constexpr Duration LongestDialPause = seconds(1);
 constexpr Duration LateWakeThreshold = milliseconds(300); ///< a tick this late means that the process was paused
-constexpr Duration FlushLimit = milliseconds(300); ///< longest wait for queued bytes at a stop
+constexpr Duration FlushLimit = milliseconds(300); ///< longest wait at a stop for bytes that are not delivered
 constexpr std::size_t ControlQueueLimit = 2 * 1024 * 1024; ///< bytes; more is dropped and repaired by digests
 constexpr std::size_t RequestQueueLimit = 8 * 1024 * 1024; ///< bytes
 constexpr std::size_t MaxKinds = 32; ///< control message kinds with a counter of their own
@@ -454,8 +454,8 @@
     m_timers.cancel(m_tick);
     const auto until = Clock::now() + FlushLimit;
     const auto open = links();
-    const auto queued = [&] { return std::any_of(open.begin(), open.end(), [](const auto &link) { return link->hasQueued(); }); };
-    while (queued() && Clock::now() < until) {
+    const auto undelivered = [&] { return std::any_of(open.begin(), open.end(), [](const auto &link) { return link->hasUndelivered(); }); };
+    while (undelivered() && Clock::now() < until) {
         std::this_thread::sleep_for(milliseconds(5));
     }
     for (auto &loop : m_loops) {
--- a/tests/plugins/peerlink_test.cpp
+++ b/tests/plugins/peerlink_test.cpp
@@ -1,6 +1,7 @@
 #include "kernel/plugin.h"
 #include "plugins/interfaces.h"
 #include "plugins/peerlink/linkhealth.h"
+#include "tests/support/rawsocket.h"
 #include "wire/framing.h"
 
 #include <arpa/inet.h>
@@ -284,6 +285,31 @@
     BOOST_TEST(entry.listener.waitFor([this] { return !entry.listener.leaving.empty(); }));
 }
 
+/// Guards against a stop that takes what the kernel holds for delivered: the next bytes of the peer make the kernel discard it.
+BOOST_AUTO_TEST_CASE(stop_peerStillReadsAnAnswer_answerArrivesWhole)
+{
+    constexpr std::size_t AnswerBytes = 200'000; ///< bytes; within the window, so all is handed over at once
+    constexpr std::size_t BytesPerRead = 10'000; ///< bytes; of each 5 ms, so the answer takes a third of the time that a stop may take
+    auto peer = RawSocket::connectTo(exit.settings.peerListen, 8 * 1024);
+    peer.send(encodeHello({{"127.26.0.8", 1}, 1, "test", Wire::LinkKind::Request}, Clock::now()) + encodeAttempt(makeHead(1), Clock::now())
+              + encodePiecesEnd(1));
+    const auto inbound = exit.listener.firstAttempt();
+    AnswerHead head;
+    head.status = 200;
+    inbound->sendHead(head);
+    inbound->sendBody(std::string(AnswerBytes, 'x'), Clock::now() + TestLimit);
+    inbound->end({Outcome::Ran, Reason::None, true, false, milliseconds(0), {}});
+    std::thread stopping([this] { exit.transport->stop(); });
+    std::string bytes;
+    while (peer.receiveSome(bytes, seconds(1), BytesPerRead) > 0) {
+        peer.send(encodeHeartbeat({}, Clock::now()));
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    stopping.join();
+    BOOST_TEST(bytes.size() > AnswerBytes);
+    BOOST_TEST(!peer.wasReset());
+}
+
 BOOST_AUTO_TEST_CASE(garbagePeer_anyBytes_costsOneLinkAndOneCount)
 {
     const RawPeer raw(exit.settings.peerListen);
