Targets: a whole answer counts although the request's body is not sent to its end

Cause: libcurl goes on sending the body after a whole answer with status 2xx, so an exchange whose target answers without reading the body ended as broken: at the deadline, or when the target closed. Change: an answer whose Content-Length is received ends the exchange as complete; the rest of the body is not sent and the connection not reused. Measured: answer_beforeTheTargetReadsTheBody_isComplete "Timeout was reached" before at the deadline of 2 s, complete now.

--- a/src/plugins/targethttp.cpp
+++ b/src/plugins/targethttp.cpp
@@ -55,6 +55,7 @@
     TargetResult result(CURLcode code) const;
     Reason reasonOf(CURLcode code) const;
     bool bodyEndIsKnown() const;
+    bool isWholeBeforeTheBodyIsSent() const;
 
     int onPermission();
     std::size_t onHeaderLine(std::string_view line);
@@ -70,6 +71,7 @@
     unsigned m_status = 0;
     std::size_t m_headBytes = 0;
     std::uint64_t m_uploaded = 0; ///< bytes of the request body
+    std::uint64_t m_received = 0; ///< bytes of the answer body
     bool m_headDone = false;
     bool m_sent = false;
     bool m_cancelled = false;
@@ -132,6 +134,7 @@
 
 std::size_t TargetExchange::onBody(Bytes piece)
 {
+    m_received += piece.size();
     m_cancelled = !m_sink.onBody(piece);
     return m_cancelled ? 0 : piece.size();
 }
@@ -255,8 +258,8 @@
     setHeaders();
     const auto code = m_transfer.run(
         [this] {
-            m_cancelled = m_cancelled || m_sink.cancelled();
-            return m_cancelled;
+            m_cancelled = m_cancelled || (!isWholeBeforeTheBodyIsSent() && m_sink.cancelled());
+            return m_cancelled || isWholeBeforeTheBodyIsSent();
         },
         CancelPoll);
     return result(code);
@@ -271,6 +274,14 @@
     return noBody || findHeader(m_answerHeaders, "Content-Length") != nullptr || findHeader(m_answerHeaders, "Transfer-Encoding") != nullptr;
 }
 
+/// libcurl goes on sending the request's body after a whole answer, or fails when the target has closed.
+bool TargetExchange::isWholeBeforeTheBodyIsSent() const
+{
+    const auto *length = findHeader(m_answerHeaders, "Content-Length");
+    return m_headDone && !m_cancelled && m_request.hasBody && length != nullptr && findHeader(m_answerHeaders, "Transfer-Encoding") == nullptr
+        && *length == std::to_string(m_received);
+}
+
 Reason TargetExchange::reasonOf(CURLcode code) const
 {
     if (m_cancelled) {
@@ -287,7 +298,7 @@
 
 TargetResult TargetExchange::result(CURLcode code) const
 {
-    if (code == CURLE_OK && m_headDone && bodyEndIsKnown()) {
+    if ((code == CURLE_OK && m_headDone && bodyEndIsKnown()) || isWholeBeforeTheBodyIsSent()) {
         return {m_sent, true, Reason::None, ""};
     }
     TargetResult result{m_sent, false, reasonOf(code), curl_easy_strerror(code)};
--- a/tests/plugins/targethttp_test.cpp
+++ b/tests/plugins/targethttp_test.cpp
@@ -222,6 +222,24 @@
     BOOST_TEST(!result.detail.empty());
 }
 
+/// Guards against a complete answer that is lost because the target gave it before it had read the request's body. The connection ends with a
+/// reset soon after, or stays open until the deadline.
+BOOST_DATA_TEST_CASE(answer_beforeTheTargetReadsTheBody_isComplete, (std::vector<int>{500, 3'000}), openForMs)
+{
+    const RawServer target(targetAddress, [openForMs](RawSocket &socket, unsigned) {
+        socket.receiveUntil("\r\n\r\n");
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + std::string(40'000, 'x'));
+        std::this_thread::sleep_for(milliseconds(openForMs));
+    });
+    sink.upload = std::string(16'000'000, 'b');
+    auto r = post(sink.upload);
+    r.deadline = Clock::now() + seconds(2);
+    const auto result = run(r);
+    BOOST_TEST(result.complete, result.detail);
+    BOOST_TEST(sink.status == 200U);
+    BOOST_TEST(sink.body.size() == 40'000U);
+}
+
 BOOST_AUTO_TEST_CASE(connection_aliveAndIdle_isReused)
 {
     const RawServer target(targetAddress, always(okAnswer));
