Pages: a connection is not idle while its page is on its way

Cause: the idle time counted from the last input, and invalid input closed the connection at once; both dropped what the stream held of a page. A request after the last page was answered on a shut connection. Change: idle time counts from the last progress of delivery too, invalid input ends the output after the pages before it, input after the last page is discarded. The limits are a parameter, for tests.

--- a/src/forward/pageserver.cpp
+++ b/src/forward/pageserver.cpp
@@ -1,12 +1,14 @@
 #include "forward/pageserver.h"
 
+#include "mesh/answerdelivery.h"
+
+#include <algorithm>
+
 namespace Fescuenotch {
 
 namespace {
 
 constexpr MessageLimits PageRequestLimits{8'192, 0}; ///< bytes of header and body; health checks and scrapes have short headers and no body
-constexpr seconds IdleTimeout{60}; ///< s; longer than the usual interval of health checks and scrapes
-constexpr seconds IdleCheckPeriod{10};
 constexpr std::size_t MaxConnections = 64;
 
 } // namespace
@@ -22,28 +24,36 @@
     {
     }
 
-    bool isIdle(TimePoint now) const
+    /// A connection is not idle while its page is being read, however slowly. One that has ended its output is idle as soon as all is delivered.
+    bool isIdle(TimePoint now)
     {
-        return now - m_lastInput > IdleTimeout;
+        updateDelivery(now);
+        return (m_ended && m_delivery.isDelivered()) || now - std::max(m_lastInput, m_delivery.lastProgressAt()) > m_server.m_limits.idleTimeout;
     }
 
     void onInput() override
     {
         m_lastInput = m_server.m_loop.turnTime();
-        while (m_tcp->isOpen()) {
+        updateDelivery(m_lastInput);
+        while (m_tcp->isOpen() && !m_ended) {
             const auto result = m_reader.readHead(m_tcp->input());
             if (result == MessageReader::ReadResult::NeedMore) {
                 return;
             }
             std::string body;
             if (result != MessageReader::ReadResult::Done || m_reader.readBody(m_tcp->input(), body) != MessageReader::ReadResult::Done) {
-                m_tcp->close();
-                m_server.remove(*this);
-                return;
+                m_invalid = true;
+                endOutput();
+                break;
             }
             write(m_server.answer(m_reader.head().target), !m_reader.head().keepAlive);
             m_reader.next();
         }
+        m_tcp->input().clear();
+        if (m_invalid && m_delivery.isDelivered()) {
+            m_tcp->close();
+            m_server.remove(*this);
+        }
     }
 
     void onClosed(CloseCause) override
@@ -54,23 +64,41 @@
 private:
     void write(const PageAnswer &answer, bool closes)
     {
-        m_tcp->write(formatResponseHead(answer.status, {{"Content-Type", answer.contentType}}, {answer.text.size(), false}, closes));
+        const auto head = formatResponseHead(answer.status, {{"Content-Type", answer.contentType}}, {answer.text.size(), false}, closes);
+        m_tcp->write(head);
         m_tcp->write(answer.text);
+        m_delivery.onHandedOver(m_lastInput, head.size() + answer.text.size());
         if (closes) {
-            m_tcp->shutdownOutput();
+            endOutput();
         }
     }
 
+    /// Further input is discarded, so that closing does not become a reset.
+    void endOutput()
+    {
+        m_ended = true;
+        m_tcp->shutdownOutput();
+    }
+
+    void updateDelivery(TimePoint now)
+    {
+        m_delivery.update(now, {m_tcp->pendingBytes(), m_tcp->unacknowledgedBytes()});
+    }
+
     PageServer &m_server;
     std::unique_ptr<TcpStream> m_tcp;
     MessageReader m_reader;
     TimePoint m_lastInput;
+    AnswerDelivery m_delivery;
+    bool m_ended = false; ///< the last page was handed over
+    bool m_invalid = false; ///< the last input was not a valid request
 };
 
-PageServer::PageServer(EventLoop &loop)
+PageServer::PageServer(EventLoop &loop, const PageServerLimits &limits)
     : m_loop(loop)
+    , m_limits(limits)
 {
-    m_idleCheckTimer.repeat(loop.timers(), IdleCheckPeriod, [this](TimePoint now) {
+    m_idleCheckTimer.repeat(loop.timers(), limits.idleCheckPeriod, [this](TimePoint now) {
         std::vector<Connection *> idle;
         for (const auto &[key, connection] : m_connections) {
             if (connection->isIdle(now)) {
--- a/src/forward/pageserver.h
+++ b/src/forward/pageserver.h
@@ -21,10 +21,15 @@
     std::string text;
 };
 
+struct PageServerLimits {
+    milliseconds idleTimeout{60'000}; ///< ms; longer than the usual interval of health checks and scrapes
+    milliseconds idleCheckPeriod{10'000}; ///< ms
+};
+
 class PageServer
 {
 public:
-    explicit PageServer(EventLoop &loop);
+    explicit PageServer(EventLoop &loop, const PageServerLimits &limits = {});
     ~PageServer();
     /// `page` is called for each request of `path`.
     void addPage(const std::string &path, std::function<PageAnswer()> page);
@@ -39,6 +44,7 @@
     void remove(Connection &connection);
 
     EventLoop &m_loop;
+    PageServerLimits m_limits;
     std::map<std::string, std::function<PageAnswer()>> m_pages; ///< by path
     std::vector<std::unique_ptr<TcpListener>> m_listeners;
     std::map<Connection *, std::unique_ptr<Connection>> m_connections;
