Links: a stopping node's answers to peers count as in flight until they are delivered

Cause: an answer was taken for delivered 300 ms after its last byte was handed over. When the process ended, bytes in the stream were lost, and what the peer sent next made this host's kernel discard the rest. Change: a link counts as one more answer until the peer's host has acknowledged the end of its last answer; frames after that end do not count. The 300 ms stay as the least time.

--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -379,6 +379,7 @@
         m_lastWriteAt = m_links.m_loop.turnTime();
         m_links.m_pacer.onSent(m_lastWriteAt, frame.size());
         m_tcp->write(frame);
+        m_writtenBytes += frame.size();
     }
 
     bool isHandshakeDone() const
@@ -462,7 +463,14 @@
     std::size_t answersInFlight(TimePoint now) const
     {
         const bool endedRecently = m_lastAnswerEndAt != TimePoint::min() && now - m_lastAnswerEndAt < UplinkFlushTime;
-        return m_exchanges.size() + (endedRecently ? 1 : 0);
+        return m_exchanges.size() + (endedRecently || hasUndeliveredAnswer() ? 1 : 0);
+    }
+
+    /// The peer's host has not acknowledged the end of the last answer. Frames after it do not count: heartbeats are always on their way.
+    bool hasUndeliveredAnswer() const
+    {
+        const auto backlog = m_tcp->pendingBytes() + m_tcp->unacknowledgedBytes();
+        return m_lastAnswerEnd + backlog > m_writtenBytes;
     }
 
     void onInput() override
@@ -758,6 +766,7 @@
         }
         write(encodeEnded(it->first, *it->second->ended));
         m_lastAnswerEndAt = m_lastWriteAt;
+        m_lastAnswerEnd = m_writtenBytes;
         // Destroyed later, since this may be called from a function of the exchange.
         m_links.m_loop.destroyLater(std::move(it->second));
         return m_exchanges.erase(it);
@@ -773,6 +782,8 @@
     TimePoint m_lastHeartbeatAt;
     TimePoint m_lastExchangeAt; ///< when the last exchange began
     TimePoint m_lastAnswerEndAt = TimePoint::min();
+    std::uint64_t m_writtenBytes = 0; ///< since the link was accepted
+    std::uint64_t m_lastAnswerEnd = 0; ///< bytes of the link's output up to the end of the last answer
     Exchanges m_exchanges; ///< by stream
 };
 
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -90,8 +90,8 @@
     }
     /// Counts bytes that other connections send over this host's link, so that large answers are paced around them.
     void recordOtherTraffic(std::size_t bytes);
-    /// Answers to peers that are not completely sent. A link whose last answer ended less than `UplinkFlushTime` ago counts as
-    /// one more, since the kernel may still be sending that answer.
+    /// Answers to peers that are not delivered. A link counts as one more while the peer's host has not acknowledged its last answer, and for
+    /// `UplinkFlushTime` after that answer was handed over, since something between the hosts may acknowledge in the peer's place.
     std::size_t answersInFlight(TimePoint now) const;
     std::size_t uplinkBacklog() const; ///< bytes of large answers that are queued for this host's link
 
--- a/tests/forward/meshfixture.cpp
+++ b/tests/forward/meshfixture.cpp
@@ -310,6 +310,12 @@
     }
 }
 
+void MeshFixture::removeNode(std::size_t n)
+{
+    stopNode(n);
+    m_hosts[n]->node.reset();
+}
+
 Endpoint MeshFixture::callerEndpoint(std::size_t n) const
 {
     return m_hosts[n]->settings.callerListen;
--- a/tests/forward/meshfixture.h
+++ b/tests/forward/meshfixture.h
@@ -82,6 +82,7 @@
     void publish(std::uint64_t version, const std::string &readService = "desk", milliseconds timeout = seconds(2));
     void waitReady();
     void stopNode(std::size_t n);
+    void removeNode(std::size_t n); ///< stops it and closes its sockets, as the end of its process does
     MeshNode &node(std::size_t n)
     {
         return *m_hosts[n]->node;
