--- a/tests/forward/linkdelivery_test.cpp
+++ b/tests/forward/linkdelivery_test.cpp
@@ -121,6 +121,25 @@
 
 // ---- [target] ---------------------------------------------------------------------------------------------------
 
+/// Guards against a target's answer that is cut because its connection ends while this node holds it back for a slow caller.
+BOOST_AUTO_TEST_CASE(target_closesAfterAnAnswerThatIsReadSlowly_answerIsComplete)
+{
+    addNode("desk");
+    addRawNode("feed", [](RawSocket &socket, unsigned) {
+        if (!contains(socket.receiveUntil("\r\n\r\n", seconds(2)), "/feed/")) {
+            return;
+        }
+        socket.send("HTTP/1.1 200 OK\r\nTry-Id: id-1\r\nTarget-Mark: m\r\nConnection: close\r\nContent-Length: " + std::to_string(LargeAnswerBytes) + "\r\n\r\n"
+                    + std::string(LargeAnswerBytes, 'x'));
+    });
+    publish(1, "desk", seconds(10));
+    waitReady();
+    auto socket = RawSocket::connectTo(callerEndpoint(0), ReceiveBuffer);
+    socket.send(request("GET", "/feed/large", "id-1", "Connection: close\r\n"));
+    const auto answer = socket.receiveAtRate(LargeAnswerRate, ReadLimit);
+    BOOST_TEST(isComplete(answer), "got " << answer.size() << " bytes");
+}
+
 /// A target that answers when it has the head of a request, leaves the body unread, and ends the connection after `wait`.
 RawServer::Script earlyAnswer(milliseconds wait)
 {
