Soak: herds of stops, and callers that read slowly

Change: two callers for each host read answers of 30 KB to 1.2 MB at 30 to 300 KB/s into receive buffers of 8 to 64 KB, up to four on a connection. A third kind of round stops half to all of the nodes 0.1 to 0.5 s apart, twice, with SIGHUP and a configuration between. An answer that began is whole, if its caller could read it before its own limit and the SIGKILL of its node; a request that a node read gets an answer or a refusal.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/names.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace Fescuenotch::Soak {
@@ -14,6 +15,46 @@
 constexpr milliseconds RecoveryLimit{15'000}; ///< ms; the platform's bound for recovery
 constexpr milliseconds LateRunLimit{1'000}; ///< ms in which a request that was refused could still run
 constexpr std::array<const char *, 3> Paths{"/read/20", "/file/20", "/feed/5/60000"};
+constexpr unsigned PacedCallersPerHost = 2;
+constexpr unsigned LongestRun = 300; ///< ms; of a request whose answer is read slowly
+constexpr unsigned SlowestRate = 30'000; ///< bytes a second
+constexpr unsigned FastestRate = 300'000; ///< bytes a second
+constexpr unsigned SmallestAnswer = 30'000; ///< bytes
+constexpr unsigned LongestRead = 4'000; ///< ms for one answer; 1.2 MB at the fastest rate, and within the time limit of the route
+constexpr unsigned SmallestBuffer = 8 * 1'024; ///< bytes
+constexpr unsigned LargestBuffer = 64 * 1'024; ///< bytes
+constexpr unsigned MostRequests = 4; ///< on one connection that is read slowly
+
+Tests::CallerShape drawPacedShape(std::mt19937_64 &random)
+{
+    const auto between = [&](unsigned least, unsigned most) { return least + static_cast<unsigned>(random() % (most - least + 1)); };
+    Tests::CallerShape shape;
+    shape.bytesPerSecond = between(SlowestRate, FastestRate);
+    const auto bytes = between(SmallestAnswer, static_cast<unsigned>(shape.bytesPerSecond * LongestRead / 1'000));
+    shape.path = "/paced/" + std::to_string(between(0, LongestRun)) + "/" + std::to_string(bytes);
+    shape.receiveBuffer = static_cast<int>(between(SmallestBuffer, LargestBuffer));
+    shape.requests = between(1, MostRequests);
+    return shape;
+}
+
+/// Whether a stop of the node began before the call ended and lasted, as planned, until `time` at most.
+bool endsBefore(TimePoint time, const Tests::CallOutcome &call, const SoakHost &host)
+{
+    const auto stops = host.stops();
+    const auto limit = host.node().place().stopLimit;
+    return std::any_of(stops.begin(), stops.end(), [&](TimePoint stop) { return stop <= call.endedAt && stop + limit >= call.beganAt && stop + limit < time; });
+}
+
+/// Whether the caller could read the answer at its rate before its own time limit and before the SIGKILL of its node.
+bool couldBeRead(const Tests::CallOutcome &call, const SoakHost &host)
+{
+    if (call.bytesPerSecond == 0 || !call.began()) {
+        return true;
+    }
+    const auto bytes = std::max<std::size_t>(call.wholeBytes, std::stoul(call.path.substr(call.path.rfind('/') + 1)));
+    const auto readAt = call.beganAt + milliseconds(bytes * 1'000 / call.bytesPerSecond);
+    return readAt < call.sentAt + Tests::AnswerLimit && !endsBefore(readAt, call, host);
+}
 
 /// Whether a request on a new connection to `endpoint` is answered with 200.
 bool isServed(const Endpoint &endpoint, const std::string &path, const std::string &id)
@@ -86,22 +127,33 @@
 
 // ---- [calls] ----------------------------------------------------------------------------------------------------
 
-Checks::Checks(SoakFleet &fleet)
+Checks::Checks(SoakFleet &fleet, std::uint64_t seed)
     : m_fleet(fleet)
 {
     for (std::size_t n = 0; n < fleet.size(); ++n) {
         const auto &node = fleet.host(n).node();
         for (const auto *path : Paths) {
             const auto name = node.place().name + std::string(path).substr(0, 5);
-            m_callers.push_back(std::make_unique<Tests::KeptCaller>(name, node.callerEndpoint(), path));
+            m_callers.push_back({n, std::make_unique<Tests::KeptCaller>(name, node.callerEndpoint(), path)});
         }
+        addPacedCallers(n, seed);
         m_probes.push_back(std::make_unique<VersionProbe>(fleet, n));
     }
 }
 
+void Checks::addPacedCallers(std::size_t host, std::uint64_t seed)
+{
+    const auto &node = m_fleet.host(host).node();
+    for (unsigned n = 0; n < PacedCallersPerHost; ++n) {
+        std::seed_seq seeds{seed, std::uint64_t{host}, std::uint64_t{n}};
+        const auto draw = [random = std::mt19937_64(seeds)]() mutable { return drawPacedShape(random); };
+        m_callers.push_back({host, std::make_unique<Tests::KeptCaller>(node.place().name + "/paced" + std::to_string(n), node.callerEndpoint(), draw)});
+    }
+}
+
 void Checks::beginRound(RoundKind kind)
 {
-    if (kind == RoundKind::Planned) {
+    if (kind != RoundKind::Rough) {
         m_round = PlannedRound{Clock::now(), TimePoint::max()};
     }
 }
@@ -121,7 +173,7 @@
     return std::any_of(m_plannedRounds.begin(), m_plannedRounds.end(), contains);
 }
 
-void Checks::checkCall(const Tests::CallOutcome &call)
+void Checks::checkCall(const Tests::CallOutcome &call, const SoakHost &host)
 {
     const auto runs = m_fleet.journal().runs(call.id);
     const auto problem = [&](const std::string &what) {
@@ -136,12 +188,37 @@
     if (call.whole && call.status == 200 && (!call.own || runs == 0)) {
         problem("the answer is not its own");
     }
-    if (inPlannedRound(call) && !call.whole && runs != 0) {
+    const bool planned = inPlannedRound(call);
+    if (planned && !call.whole && runs != 0 && couldBeRead(call, host)) {
         problem("cut by a planned stop");
     }
+    if (planned && !call.whole && call.began() && couldBeRead(call, host)) {
+        problem("LOST, an answer that its caller could read: " + describeCut(call));
+    }
+    if (planned && call.sent && !call.began() && !call.closedUnread) {
+        problem("LOST, no answer and no refusal to a request that the node read");
+    }
+    const auto stops = host.stops();
+    const auto stopped = [&](TimePoint stop) { return stop < call.endedAt && stop + host.node().place().stopLimit > call.beganAt; };
+    m_pacedInStops += planned && call.bytesPerSecond > 0 && call.whole && call.status == 200 && std::any_of(stops.begin(), stops.end(), stopped) ? 1 : 0;
     ++(call.whole && call.status == 200 ? m_answered : call.refused() ? m_refused : m_failed);
 }
 
+std::string Checks::describeCut(const Tests::CallOutcome &call) const
+{
+    const auto after = [&](TimePoint time) { return std::to_string(std::chrono::duration_cast<milliseconds>(time - call.sentAt).count()); };
+    std::string text = std::to_string(call.bytes) + " of " + std::to_string(call.wholeBytes) + " bytes, " + std::to_string(call.bytesPerSecond)
+        + " a second, target " + call.target + "; ms after the request: began " + after(call.beganAt) + ", ended " + after(call.endedAt) + ", stops";
+    for (std::size_t n = 0; n < m_fleet.size(); ++n) {
+        for (const auto stop : m_fleet.host(n).stops()) {
+            if (stop < call.endedAt && stop + m_fleet.host(n).node().place().stopLimit > call.sentAt) {
+                text += " " + m_fleet.host(n).node().place().name + " " + after(stop);
+            }
+        }
+    }
+    return text;
+}
+
 void Checks::checkServiceIsBack()
 {
     const auto until = Clock::now() + RecoveryLimit;
@@ -167,13 +244,13 @@
         probe->stop();
         m_problems.insert(m_problems.end(), probe->problems().begin(), probe->problems().end());
     }
-    for (const auto &caller : m_callers) {
-        caller->stop();
+    for (const auto &each : m_callers) {
+        each.caller->stop();
     }
     std::this_thread::sleep_for(LateRunLimit);
-    for (const auto &caller : m_callers) {
-        for (const auto &call : caller->outcomes()) {
-            checkCall(call);
+    for (const auto &each : m_callers) {
+        for (const auto &call : each.caller->outcomes()) {
+            checkCall(call, m_fleet.host(each.host));
         }
     }
     return m_problems;
@@ -182,7 +259,7 @@
 std::string Checks::summary() const
 {
     return std::to_string(m_answered) + " answered, " + std::to_string(m_refused) + " refused, " + std::to_string(m_failed) + " failed, "
-        + std::to_string(m_fleet.journal().total()) + " ran";
+        + std::to_string(m_fleet.journal().total()) + " ran, " + std::to_string(m_pacedInStops) + " read slowly from stopping nodes";
 }
 
 } // namespace Fescuenotch::Soak
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -33,14 +33,16 @@
 class Checks
 {
 public:
-    explicit Checks(SoakFleet &fleet);
+    Checks(SoakFleet &fleet, std::uint64_t seed);
     void beginRound(RoundKind kind);
     void endRound();
     std::vector<std::string> finish();
     std::string summary() const; ///< counts of requests by outcome, after `finish`
 
 private:
-    void checkCall(const Tests::CallOutcome &call);
+    void addPacedCallers(std::size_t host, std::uint64_t seed);
+    void checkCall(const Tests::CallOutcome &call, const SoakHost &host);
+    std::string describeCut(const Tests::CallOutcome &call) const;
     bool inPlannedRound(const Tests::CallOutcome &call) const;
     void checkServiceIsBack();
 
@@ -50,12 +52,17 @@
     };
 
     SoakFleet &m_fleet;
-    std::vector<std::unique_ptr<Tests::KeptCaller>> m_callers;
+    struct Caller {
+        std::size_t host; ///< number
+        std::unique_ptr<Tests::KeptCaller> caller;
+    };
+    std::vector<Caller> m_callers;
     std::vector<std::unique_ptr<VersionProbe>> m_probes;
     std::optional<PlannedRound> m_round;
     std::vector<PlannedRound> m_plannedRounds;
     std::vector<std::string> m_problems;
     unsigned m_answered = 0;
+    unsigned m_pacedInStops = 0; ///< answers that were read at a given rate while their node stopped
     unsigned m_refused = 0;
     unsigned m_failed = 0;
 };
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -2,7 +2,9 @@
 
 #include "tests/support/arrivals.h"
 
+#include <algorithm>
 #include <csignal>
+#include <numeric>
 #include <thread>
 
 namespace Fescuenotch::Soak {
@@ -16,6 +18,10 @@
 constexpr milliseconds LongestDelay{60}; ///< ms added each way by a proxy
 constexpr milliseconds LongestSignalGap{250}; ///< ms between further signals during a stop
 constexpr unsigned HangupsInARow = 20;
+constexpr unsigned HerdsPerRound = 2;
+constexpr milliseconds ShortestHerdGap{100}; ///< ms between the stops of two nodes of a herd
+constexpr milliseconds LongestHerdGap{500}; ///< ms
+constexpr milliseconds LongestHerdDelay{1'000}; ///< ms between two herds
 constexpr unsigned HighestLimit = 8; ///< requests a second
 constexpr milliseconds ToldAfter{500}; ///< ms after the first answer with a limit, from when on requests count
 constexpr seconds LimitWindow{4}; ///< s
@@ -61,6 +67,10 @@
     if (kind == RoundKind::Planned) {
         limited.target().nameLimit(1 + draw(random, HighestLimit));
     }
+    if (kind == RoundKind::Herds) {
+        runHerds(random);
+        return;
+    }
     std::vector<std::thread> series;
     for (unsigned n = 0; n < SeriesPerRound; ++n) {
         std::seed_seq seeds{m_seed, std::uint64_t{m_round}, std::uint64_t{n}};
@@ -126,7 +136,7 @@
     if (!host.take()) {
         return;
     }
-    host.signal(SIGTERM);
+    host.beginStop();
     for (unsigned n = furtherSignals ? 3 : 0; n > 0; --n) {
         sleepFor(drawTime(random, LongestSignalGap));
         constexpr std::array<int, 3> Further{SIGHUP, SIGTERM, SIGINT};
@@ -142,6 +152,31 @@
     host.release();
 }
 
+void FaultRounds::runHerds(Random random)
+{
+    for (unsigned herd = 0; herd < HerdsPerRound; ++herd) {
+        sleepFor(drawTime(random, LongestHerdDelay));
+        std::vector<unsigned> order(m_fleet.size());
+        std::iota(order.begin(), order.end(), 0);
+        std::shuffle(order.begin(), order.end(), random);
+        const auto count = static_cast<unsigned>(order.size());
+        order.resize(count - draw(random, count / 2 + 1));
+        const auto publishesAt = draw(random, static_cast<unsigned>(order.size()));
+        std::vector<std::thread> stops;
+        for (unsigned n = 0; n < order.size(); ++n) {
+            stops.emplace_back([this, n = order[n], random]() mutable { stopAndStart(m_fleet.host(n), random, false, true); });
+            sleepFor(ShortestHerdGap + drawTime(random, LongestHerdGap - ShortestHerdGap));
+            if (n == publishesAt) {
+                m_fleet.publish();
+            }
+            m_fleet.host(draw(random, count)).signal(SIGHUP);
+        }
+        for (auto &each : stops) {
+            each.join();
+        }
+    }
+}
+
 void FaultRounds::faultStore(Random &random)
 {
     constexpr std::array<Tests::StoreFault, 3> Kinds{Tests::StoreFault::Busy, Tests::StoreFault::Limited, Tests::StoreFault::Lost};
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -11,7 +11,7 @@
 
 namespace Fescuenotch::Soak {
 
-enum class RoundKind { Planned, Rough };
+enum class RoundKind { Planned, Rough, Herds };
 
 class FaultRounds
 {
@@ -23,6 +23,7 @@
     using Random = std::mt19937_64;
 
     void runSeries(RoundKind kind, Random random);
+    void runHerds(Random random);
     void checkLimit(SoakHost &host, const Tests::NamedLimit &limit, unsigned restarts);
     void injectPlanned(SoakHost &host, Random &random);
     void injectRough(SoakHost &host, Random &random);
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -1,10 +1,11 @@
 // fescuenotch-soak: real nodes under seeded, overlapping faults; exits with 1 when a promise was broken.
 //
-// Usage: fescuenotch-soak [--seed N] [--rounds N] [--hosts N] [--net N]. A failing run keeps its folder of logs and prints it.
+// Usage: fescuenotch-soak [--seed N] [--rounds N] [--hosts N] [--kind N] [--net N]. A failing run keeps its folder of logs and prints it.
 #include "soak/checks.h"
 
 #include "kernel/logging.h"
 
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 
@@ -12,6 +13,7 @@
 
 namespace {
 
+constexpr std::array<RoundKind, 3> Kinds{RoundKind::Planned, RoundKind::Rough, RoundKind::Herds}; ///< in turn
 constexpr milliseconds CalmBetweenRounds{1'500}; ///< ms; what a rough round did to connections has ended
 
 Result<SoakSettings> parseSettings(const std::vector<std::string> &args)
@@ -29,6 +31,8 @@
             settings.rounds = static_cast<unsigned>(value);
         } else if (args[n] == "--hosts") {
             settings.hosts = static_cast<unsigned>(value);
+        } else if (args[n] == "--kind") {
+            settings.kind = static_cast<unsigned>(value);
         } else if (args[n] == "--net") {
             settings.net = static_cast<unsigned>(value);
         } else {
@@ -38,7 +42,6 @@
     return settings;
 }
 
-/// Rounds are planned and rough in turn.
 int run(SoakSettings settings)
 {
     Tests::ScratchFolder folder;
@@ -47,15 +50,15 @@
     std::fflush(stdout);
     SoakFleet fleet(settings);
     fleet.start();
-    Checks checks(fleet);
+    Checks checks(fleet, settings.seed);
     FaultRounds faults(fleet, settings.seed);
     for (unsigned n = 0; n < settings.rounds; ++n) {
-        const auto kind = n % 2 == 0 ? RoundKind::Planned : RoundKind::Rough;
+        const auto kind = Kinds[(settings.kind == 0 ? n : settings.kind - 1) % Kinds.size()];
         checks.beginRound(kind);
         faults.run(kind);
         fleet.waitAllReady(seconds(5));
-        checks.endRound();
         std::this_thread::sleep_for(CalmBetweenRounds);
+        checks.endRound();
     }
     auto problems = checks.finish();
     problems.insert(problems.end(), faults.problems().begin(), faults.problems().end());
--- a/soak/soakfleet.cpp
+++ b/soak/soakfleet.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds KillLimit{2'000}; ///< ms; a killed process is gone after this
 constexpr milliseconds SignalsLimit{2'000}; ///< ms; a started process receives its signals after this
 constexpr milliseconds RouteTimeout{2'000}; ///< ms
+constexpr milliseconds PacedRouteTimeout{6'000}; ///< ms; for answers that are read slowly
 
 std::string address(const SoakSettings &settings, unsigned kind, unsigned number)
 {
@@ -149,6 +150,19 @@
     m_node.process().signal(number);
 }
 
+void SoakHost::beginStop()
+{
+    const std::lock_guard lock(m_mutex);
+    m_stops.push_back(Clock::now());
+    m_node.process().signal(SIGTERM);
+}
+
+std::vector<TimePoint> SoakHost::stops() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_stops;
+}
+
 void SoakHost::restart()
 {
     const std::lock_guard lock(m_mutex);
@@ -227,6 +241,11 @@
     route["name"] = "version";
     route["prefix"] = versionPath(m_version);
     json["routes"].push_back(route);
+    route["name"] = "paced";
+    route["prefix"] = "/paced/";
+    route["service"] = "desk";
+    route["timeout"] = std::to_string(PacedRouteTimeout.count()) + "ms";
+    json["routes"].push_back(route);
     m_store->put("op/config", json.dump());
     return m_version;
 }
--- a/soak/soakfleet.h
+++ b/soak/soakfleet.h
@@ -21,6 +21,7 @@
     std::uint64_t seed = 1;
     unsigned hosts = 6;
     unsigned rounds = 4;
+    unsigned kind = 0; ///< of all rounds: 1 planned, 2 rough, 3 herds; 0: in turn
     unsigned net = 40; ///< second number of all addresses; runs side by side need different ones
     std::string folder; ///< for settings files and logs
 };
@@ -52,6 +53,8 @@
     bool take();
     void release();
     void signal(int number);
+    void beginStop(); ///< SIGTERM
+    std::vector<TimePoint> stops() const; ///< times of `beginStop`
     void restart(); ///< kills the process if it still runs, and starts a new one
     bool waitForEnd(milliseconds limit);
     int exitCode();
@@ -82,6 +85,7 @@
     mutable std::mutex m_mutex; ///< guards all below that is not constant
     bool m_taken = false;
     unsigned m_life = 0;
+    std::vector<TimePoint> m_stops;
     Standins::Link m_storeLink;
     Tests::NodeProcess m_node;
     Standins::Link m_peerLink;
--- a/tests/commands/soak_test.cpp
+++ b/tests/commands/soak_test.cpp
@@ -13,7 +13,7 @@
     Tests::ScratchFolder folder;
     std::string log = folder.path() + "/soak.log";
     Standins::ChildProcess soak{{Standins::buildFolder() + "/fescuenotch-soak",
-                                 {"--seed", "1", "--rounds", "2", "--net", "39"},
+                                 {"--seed", "1", "--rounds", "3", "--net", "39"},
                                  log,
                                  {"FESCUENOTCH_BUILD=" + Standins::buildFolder()}}};
 };
@@ -22,8 +22,9 @@
 
 BOOST_FIXTURE_TEST_SUITE(SoakTest, SoakFixture)
 
-// Guards the promises that soak/checks.cpp lists, under overlapping stops, signals, kills, pauses and cuts.
-BOOST_AUTO_TEST_CASE(nodes_plannedAndRoughRound_keepTheirPromises)
+// Guards the promises that soak/checks.cpp lists, under overlapping stops, signals, kills, pauses and cuts, herds of
+// stops, and callers that read slowly.
+BOOST_AUTO_TEST_CASE(nodes_plannedAndRoughRoundAndHerds_keepTheirPromises)
 {
     BOOST_REQUIRE(!errorOf([&] { return soak.start(); }));
     BOOST_REQUIRE(soak.waitForEnd(RunLimit));
--- a/tests/support/nodeprocess.cpp
+++ b/tests/support/nodeprocess.cpp
@@ -21,7 +21,7 @@
 constexpr std::uint16_t PeerPort = 9'803;
 constexpr std::uint16_t HealthPort = 9'804;
 constexpr unsigned TargetConnections = 256;
-constexpr milliseconds AnswerLimit{8'000}; ///< ms; a caller waits longer than any time limit of the configuration
+constexpr unsigned ReadsPerSecond = 100; ///< of a caller that reads at a given rate
 constexpr milliseconds ReconnectDelay{20}; ///< ms
 constexpr milliseconds RunStep{5}; ///< ms between looks whether the caller has left
 
@@ -50,11 +50,36 @@
     return answer.find("\r\n\r\n") == std::string::npos ? 0 : static_cast<unsigned>(std::strtoul(answer.c_str() + StatusAt, nullptr, 10));
 }
 
-bool isWhole(const std::string &answer)
+/// Bytes of an answer and its head, as its Content-Length says; 0 without a whole head.
+std::size_t wholeBytesOf(const std::string &answer)
 {
     const auto headEnd = answer.find("\r\n\r\n");
     const auto length = answer.find("Content-Length: ");
-    return headEnd != std::string::npos && length < headEnd && answer.size() == headEnd + 4 + std::stoul(answer.substr(length + 16));
+    return headEnd != std::string::npos && length < headEnd ? headEnd + 4 + std::stoul(answer.substr(length + 16, 16)) : 0;
+}
+
+std::string targetOf(const std::string &answer)
+{
+    const auto at = answer.find("seal-");
+    return at == std::string::npos ? std::string() : answer.substr(at + 5, answer.find("\r\n", at) - at - 5);
+}
+
+/// Reads one answer, and notes when it began.
+std::string receiveAnswer(RawSocket &socket, CallOutcome &call)
+{
+    std::string answer;
+    const auto left = [&] { return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(call.sentAt + AnswerLimit - Clock::now())); };
+    if (call.bytesPerSecond == 0) {
+        answer = socket.receiveAnswer(AnswerLimit);
+        call.beganAt = Clock::now();
+        return answer;
+    }
+    const auto bytesPerRead = std::max<std::size_t>(1, call.bytesPerSecond / ReadsPerSecond);
+    while ((answer.empty() || answer.size() != wholeBytesOf(answer)) && socket.receiveSome(answer, left(), bytesPerRead) > 0) {
+        call.beganAt = call.beganAt == TimePoint() ? Clock::now() : call.beganAt;
+        std::this_thread::sleep_until(call.beganAt + milliseconds(answer.size() * 1'000 / call.bytesPerSecond));
+    }
+    return answer;
 }
 
 } // namespace
@@ -242,10 +267,15 @@
 
 // ---- [callers] --------------------------------------------------------------------------------------------------
 
-KeptCaller::KeptCaller(std::string name, const Endpoint &node, std::string path)
+KeptCaller::KeptCaller(std::string name, const Endpoint &node, const std::string &path)
+    : KeptCaller(std::move(name), node, [path] { return CallerShape{path}; })
+{
+}
+
+KeptCaller::KeptCaller(std::string name, const Endpoint &node, std::function<CallerShape()> drawShape)
     : m_name(std::move(name))
     , m_node(node)
-    , m_path(std::move(path))
+    , m_drawShape(std::move(drawShape))
     , m_thread([this] { work(); })
 {
 }
@@ -272,31 +302,37 @@
 {
     while (!m_stopped) {
         try {
-            runConnection();
+            runConnection(m_drawShape());
         } catch (const std::runtime_error &) { // nobody listens
         }
         std::this_thread::sleep_for(ReconnectDelay);
     }
 }
 
-void KeptCaller::runConnection()
+void KeptCaller::runConnection(const CallerShape &shape)
 {
-    auto socket = RawSocket::connectTo(m_node);
-    const bool hasBody = m_path.rfind("/file/", 0) == 0;
-    while (!m_stopped) {
+    auto socket = RawSocket::connectTo(m_node, shape.receiveBuffer);
+    const bool hasBody = shape.path.rfind("/file/", 0) == 0;
+    for (unsigned n = 1; !m_stopped; ++n) {
         CallOutcome call;
         call.id = m_name + "-" + std::to_string(m_outcomes.size());
-        call.path = m_path;
+        call.path = shape.path;
+        call.bytesPerSecond = shape.bytesPerSecond;
         call.sentAt = Clock::now();
-        socket.send(std::string(hasBody ? "POST " : "GET ") + m_path + " HTTP/1.1\r\nHost: desk\r\n" + Platform::RequestIdHeader + ": " + call.id + "\r\n"
-                    + (hasBody ? "Content-Length: 4\r\n\r\nbody" : "\r\n"));
-        const auto answer = socket.receiveAnswer(AnswerLimit);
+        call.sent
+            = socket.send(std::string(hasBody ? "POST " : "GET ") + shape.path + " HTTP/1.1\r\nHost: desk\r\n" + Platform::RequestIdHeader + ": " + call.id
+                          + "\r\n" + (n == shape.requests ? "Connection: close\r\n" : "") + (hasBody ? "Content-Length: 4\r\n\r\nbody" : "\r\n"));
+        const auto answer = receiveAnswer(socket, call);
         call.endedAt = Clock::now();
+        call.closedUnread = socket.closedBeforeAllWasRead();
         call.status = statusOf(answer);
-        call.whole = isWhole(answer);
+        call.bytes = answer.size();
+        call.wholeBytes = wholeBytesOf(answer);
+        call.whole = call.bytes > 0 && call.bytes == call.wholeBytes;
+        call.target = targetOf(answer);
         call.own = answer.find("\r\n\r\n" + call.id + "\n") != std::string::npos;
         m_outcomes.push_back(call);
-        if (!call.whole || answer.find("Connection: close") != std::string::npos) {
+        if (!call.whole || n == shape.requests || answer.find("Connection: close") != std::string::npos) {
             return;
         }
         if (call.status != 200) {
--- a/tests/support/nodeprocess.h
+++ b/tests/support/nodeprocess.h
@@ -3,7 +3,8 @@
 //
 // How to use: put entries and a configuration into a StoreStandin, create a NodeProcess for each host, `start`, `waitReady`; run
 // a KeptCaller for each connection wanted; send signals through `process()`; then judge by `outcomes()` and the RunJournal.
-// Paths end with the time that a target takes, in ms, and for large answers the bytes: /file/300, /feed/0/100000.
+// Paths end with the time that a target takes, in ms, and for large answers the bytes: /file/300, /feed/0/100000. A caller that
+// reads slowly draws a CallerShape for each connection.
 #pragma once
 
 #include "kernel/clock.h"
@@ -13,11 +14,13 @@
 #include "tests/support/rawsocket.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -103,6 +106,16 @@
     Standins::ChildProcess m_process;
 };
 
+constexpr milliseconds AnswerLimit{8'000}; ///< ms; a caller waits longer than any time limit of the configuration
+
+/// How a caller uses one connection.
+struct CallerShape {
+    std::string path;
+    int receiveBuffer = 0; ///< bytes; 0: the system's
+    std::size_t bytesPerSecond = 0; ///< at which answers are read; 0: as they arrive
+    unsigned requests = 0; ///< the last one with "Connection: close"; 0: as many as the node takes
+};
+
 /// What a caller saw of one request.
 struct CallOutcome {
     std::string id;
@@ -110,8 +123,19 @@
     unsigned status = 0; ///< 0: no whole head
     bool whole = false; ///< a whole answer
     bool own = false; ///< with the bytes for this request
+    bool sent = false; ///< the request was passed to the kernel, all of it
+    bool closedUnread = false; ///< the node closed the connection before it read the request
+    std::size_t bytes = 0; ///< received
+    std::size_t wholeBytes = 0; ///< of the answer and its head; 0: no whole head
+    std::size_t bytesPerSecond = 0; ///< as in CallerShape
+    std::string target; ///< id, from the signature of the answer
     TimePoint sentAt;
+    TimePoint beganAt; ///< first bytes of the answer
     TimePoint endedAt;
+    bool began() const ///< a status line was received
+    {
+        return bytes > std::string_view("HTTP/1.1 200").size();
+    }
     bool refused() const ///< states that the request has not run
     {
         return whole && (status == 503 || status == 429 || status == 421 || status == 408);
@@ -122,18 +146,19 @@
 class KeptCaller
 {
 public:
-    KeptCaller(std::string name, const Endpoint &node, std::string path);
+    KeptCaller(std::string name, const Endpoint &node, const std::string &path);
+    KeptCaller(std::string name, const Endpoint &node, std::function<CallerShape()> drawShape); ///< called for each connection
     ~KeptCaller();
     void stop(); ///< after the answer to the current request
     const std::vector<CallOutcome> &outcomes() const; ///< after `stop`
 
 private:
     void work();
-    void runConnection();
+    void runConnection(const CallerShape &shape);
 
     std::string m_name;
     Endpoint m_node;
-    std::string m_path;
+    std::function<CallerShape()> m_drawShape;
     std::atomic<bool> m_stopped{false};
     std::vector<CallOutcome> m_outcomes; ///< of the thread until it has ended
     std::thread m_thread;
--- a/tests/support/rawsocket.cpp
+++ b/tests/support/rawsocket.cpp
@@ -153,6 +153,15 @@
     return m_reset;
 }
 
+bool RawSocket::closedBeforeAllWasRead() const
+{
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    ::getsockopt(m_fd, IPPROTO_TCP, TCP_INFO, &info, &length);
+    // A reset that follows the end of input is not seen by a receive, only by the state.
+    return m_reset || info.tcpi_state == TCP_CLOSE || info.tcpi_unacked > 0;
+}
+
 void RawSocket::close()
 {
     if (m_fd >= 0) {
--- a/tests/support/rawsocket.h
+++ b/tests/support/rawsocket.h
@@ -37,6 +37,8 @@
     std::size_t receiveSome(std::string &buf, milliseconds limit, std::size_t maxBytes = 65'536); ///< bytes, 0 at the end or when `limit` passes
     bool closedByPeer(milliseconds limit); ///< the other side closes within `limit`
     bool wasReset() const; ///< the last receive ended with a reset
+    /// The other side closed before it read all that was sent: its host has answered with a reset, or not acknowledged all of it.
+    bool closedBeforeAllWasRead() const;
     void close();
     void reset(); ///< closes with a reset
     int fd() const;
