Callers: what has arrived is answered before a connection is closed

Cause: the end of acceptance, the idle timeout and the exit closed connections without reading what the kernel had received since the last epoll_wait, so that it was discarded with a reset. An answer during a stop closed its connection although the next request had arrived, only the first of several pipelined requests was refused after the end of acceptance, and the kernel established connections between the last accept and the close of the listening socket.

Change: TcpStream::readNow before such a close; idle connections end their output, linger and are then closed; the process reads and refuses what has arrived before it exits, within StopSchedule; an answer closes its connection for the stop only when no input is unread; pipelined requests are refused one by one; a socket filter drops connection requests before the last accept.

Without the filter the new case of test_loop fails. Handshakes under way at the close are still reset.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -89,14 +89,16 @@
                 .with("stalled_ms", std::chrono::duration_cast<milliseconds>(now() - m_delivery.lastProgressAt()).count());
         }
         if (const auto unread = m_inputEnded ? 0 : m_tcp->unreadBytes(); unread > 0) {
-            m_server.m_discardedInput[reason]->add();
-            logEvent(LogLevel::Warning, "input_discarded")
-                .with("closed_by", closeReasonName(reason))
-                .with("bytes", unread)
-                .with("last_request", m_lastRequestId);
+            countDiscardedInput(reason, unread);
         }
     }
 
+    void countDiscardedInput(CloseReason reason, std::size_t bytes)
+    {
+        m_server.m_discardedInput[reason]->add();
+        logEvent(LogLevel::Warning, "input_discarded").with("closed_by", closeReasonName(reason)).with("bytes", bytes).with("last_request", m_lastRequestId);
+    }
+
     void updateMemoryAccount()
     {
         std::size_t held = m_tcp->pendingBytes();
@@ -149,6 +151,27 @@
         m_server.remove(*this);
     }
 
+    /// Answers requests that have arrived and were not read: while this node accepts them they are served, then refused.
+    void readNow()
+    {
+        m_tcp->readNow();
+    }
+
+    /// Call it after `readNow`. After the end of the output, input is discarded for LingerTimeout: a request that crosses it would otherwise
+    /// cause a reset, which can make the caller lose the answer before.
+    void closeIfIdle(CloseReason reason)
+    {
+        if (!m_tcp->isOpen() || !isIdle() || m_lingeringSince || m_resetsWhenDelivered) {
+            return;
+        }
+        m_closedIdle = reason;
+        m_inputEnded = true;
+        m_closing = true;
+        m_lingeringSince = now();
+        m_tcp->shutdownOutput();
+        m_tcp->resumeInput();
+    }
+
     /// Answers 408 to a header that is not complete in time. Closes the connection if a body stalls, if it is idle for too long, if its
     /// caller takes nothing of an answer for as long, or when the lingering after the last answer is over.
     void checkTimeouts(TimePoint time)
@@ -172,16 +195,23 @@
             close();
             return;
         }
-        if (m_headStarted && !m_reader.isHeadComplete() && time - *m_headStarted > callerLimits.headTimeout) {
+        if (!isLate(time)) {
+            return;
+        }
+        m_tcp->readNow(); // what arrived while this process did not run is not late
+        if (!m_tcp->isOpen() || !isLate(time)) {
+            return;
+        }
+        if (isHeadLate(time)) {
             refuse({408, "slow-head", "send the head of a request within " + std::to_string(callerLimits.headTimeout.count()) + " ms"});
             return;
         }
-        const bool bodyStalled = m_receiving != nullptr && time - m_lastInput > callerLimits.idleTimeout;
-        const bool idleTooLong = m_requests.empty() && !m_headStarted && time - m_idleSince > callerLimits.idleTimeout;
-        if (bodyStalled || idleTooLong) {
+        if (isBodyStalled(time)) {
             logLosses(CloseReason::Idle);
             close();
+            return;
         }
+        closeIfIdle(CloseReason::Idle);
     }
 
     void onInput() override
@@ -189,6 +219,10 @@
         m_lastInput = now();
         m_used = true;
         if (m_inputEnded) {
+            if (m_closedIdle) {
+                countDiscardedInput(*m_closedIdle, m_tcp->input().size());
+                m_closedIdle.reset();
+            }
             m_tcp->input().clear();
             return;
         }
@@ -357,6 +391,22 @@
         return {m_server.m_limits.maxHeadBytes, m_server.m_limits.maxBodyBytes};
     }
 
+    bool isHeadLate(TimePoint time) const
+    {
+        return m_headStarted && !m_reader.isHeadComplete() && time - *m_headStarted > m_server.m_limits.headTimeout;
+    }
+
+    bool isBodyStalled(TimePoint time) const
+    {
+        return m_receiving != nullptr && time - m_lastInput > m_server.m_limits.idleTimeout;
+    }
+
+    bool isLate(TimePoint time) const
+    {
+        const bool idleTooLong = m_requests.empty() && !m_headStarted && !m_lingeringSince && time - m_idleSince > m_server.m_limits.idleTimeout;
+        return isHeadLate(time) || isBodyStalled(time) || idleTooLong;
+    }
+
     bool isFront(const Exchange &exchange) const
     {
         return !m_requests.empty() && m_requests.front().get() == &exchange;
@@ -375,6 +425,9 @@
                 if (!readHead()) {
                     return;
                 }
+                if (m_receiving == nullptr) {
+                    continue; // the request was refused
+                }
             }
             if (!readBody()) {
                 return;
@@ -422,12 +475,12 @@
         m_lastRequestId = id == nullptr ? std::string() : *id;
         m_closeAfterLast = m_closeAfterLast || !head.keepAlive;
         m_server.m_lastRequestAt = now();
+        ++m_server.m_requestsRead;
         if (expectsContinue(head) && m_requests.empty() && m_tcp->input().empty()) {
             m_tcp->write(ContinueAnswer);
         }
         if (m_server.m_acceptStopped) {
-            refuse({503, "leaving", "send the request to another node, or to this one when it is back"});
-            return false;
+            return refuseAsLeaving();
         }
         m_requests.push_back(std::make_unique<Exchange>(*this, std::move(head)));
         m_requests.back()->requestId = m_lastRequestId;
@@ -485,14 +538,36 @@
         });
     }
 
-    /// Answers input that cannot be served (malformed, too large, too slow, or after `stopAccepting`); nothing behind it is parsed.
-    void refuse(const RequestRefusal &refusal)
+    /// Requests that are pipelined behind a refused one are refused, too, unless its body has not arrived. Returns false if no more input is
+    /// to be parsed.
+    bool refuseAsLeaving()
+    {
+        const RequestRefusal leaving{503, "leaving", "send the request to another node, or to this one when it is back"};
+        std::string body;
+        if (m_closeAfterLast || m_reader.readBody(m_tcp->input(), body) != MessageReader::ReadResult::Done) {
+            refuse(leaving);
+            return false;
+        }
+        m_reader.next();
+        countRefusal(leaving);
+        m_requests.push_back(std::make_unique<Exchange>(*this));
+        writeRefusal(*m_requests.back(), leaving);
+        return true;
+    }
+
+    void countRefusal(const RequestRefusal &refusal)
     {
         const auto counter = m_server.m_refusals.find(refusal.reason);
         if (counter != m_server.m_refusals.end()) {
             counter->second->add();
         }
         logEvent(LogLevel::Info, "caller_refused").with("status", refusal.status).with("reason", refusal.reason).with("remedy", refusal.remedy);
+    }
+
+    /// Answers input that cannot be served (malformed, too large, too slow, or after `stopAccepting`); nothing behind it is parsed.
+    void refuse(const RequestRefusal &refusal)
+    {
+        countRefusal(refusal);
         m_inputEnded = true;
         m_closeAfterLast = true;
         m_headStarted.reset();
@@ -556,7 +631,7 @@
                 break;
             }
             const bool isLast = m_requests.size() == 1 && m_receiving == nullptr;
-            const bool closesForDrain = m_server.m_draining && isLast && m_tcp->input().empty();
+            const bool closesForDrain = m_server.m_draining && isLast && m_tcp->input().empty() && m_tcp->unreadBytes() == 0;
             const bool closes = isLast && (m_closeAfterLast || closesForDrain);
             const auto head = front.formatHeadOnce(closes);
             m_tcp->write(head);
@@ -634,6 +709,7 @@
     bool m_inputEnded = false;
     bool m_closing = false; ///< an answer with `Connection: close`, or one delimited by the close, has begun
     bool m_resetsWhenDelivered = false; ///< an answer was aborted behind complete ones
+    std::optional<CloseReason> m_closedIdle; ///< until input arrives after the end of the output
     bool m_flushing = false;
     bool m_used = false; ///< input was received
     std::string m_lastRequestId;
@@ -689,17 +765,27 @@
 {
     m_acceptStopped = true;
     if (m_listener) {
+        m_listener->dropConnectionRequests();
         m_listener->acceptPending(); // closing the listening socket resets connections that were not accepted
         m_listener.reset();
     }
     for (auto *connection : connections()) {
-        if (!connection->isUnused() && connection->isIdle()) {
-            connection->logLosses(CloseReason::Stop);
-            connection->close();
+        connection->readNow();
+        if (!connection->isUnused()) {
+            connection->closeIfIdle(CloseReason::Stop);
         }
     }
 }
 
+bool CallerHttpServer::refuseArrived()
+{
+    const auto before = m_requestsRead;
+    for (auto *connection : connections()) {
+        connection->readNow();
+    }
+    return m_requestsRead != before;
+}
+
 void CallerHttpServer::accept(int fd)
 {
     m_opened.add();
--- a/src/forward/callerhttpserver.h
+++ b/src/forward/callerhttpserver.h
@@ -39,6 +39,9 @@
     /// Refuses new connections and answers further requests on open ones with 503 "not-run". Closes idle connections, except
     /// those that have not carried a request yet: their first one may be on the way, and its caller is owed an answer.
     void stopAccepting();
+    /// Before the end of the process, after `stopAccepting`: reads what has arrived on all connections and answers requests among it with 503
+    /// "not-run". Returns whether there were any.
+    bool refuseArrived();
     /// Requests without a complete answer, and answers that are not delivered.
     std::size_t requestsInFlight();
     /// Updates the memory accounts of all connections. Call it from time to time and before MemoryBudget::enforce.
@@ -70,6 +73,7 @@
     bool m_draining = false;
     bool m_acceptStopped = false;
     TimePoint m_lastRequestAt;
+    std::uint64_t m_requestsRead = 0; ///< heads
     Counter &m_opened;
     std::map<std::string, Counter *> m_refusals; ///< by reason
     std::map<CloseReason, Counter *> m_cutAnswers;
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -904,6 +904,10 @@
     if (!quiet && now < m_stop->exitAt()) {
         return;
     }
+    // Requests that arrived since the loop last waited for events are refused; their answers are delivered first if there is time.
+    if (m_callerServer->refuseArrived() && now < m_stop->exitAt()) {
+        return;
+    }
     m_stopTimer.cancel();
     m_callerServer->logCutByExit();
     m_callerServer->closeIdle();
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -4,6 +4,7 @@
 #include "plugins/listensocket.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -15,6 +16,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstdint>
 #include <utility>
 
 namespace Fescuenotch {
@@ -45,6 +47,24 @@
     static_cast<void>(::setsockopt(fd, level, name, &value, sizeof value));
 }
 
+/// Makes the kernel drop segments that open a connection (SYN without ACK). The remote host sends them again after a second, when the
+/// listening socket is closed, and is refused. Errors are ignored: without the filter, connections that are established between the last
+/// accept and the close are reset.
+void attachRequestFilter(int listener)
+{
+    constexpr std::uint32_t FlagsOffset = 13; // in the TCP header
+    constexpr std::uint32_t Syn = 0x02;
+    constexpr std::uint32_t Ack = 0x10;
+    constexpr std::uint32_t WholeSegment = 0xffff'ffff;
+    std::array<sock_filter, 5> filter{{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset),
+                                       BPF_STMT(BPF_ALU | BPF_AND | BPF_K, Syn | Ack),
+                                       BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, Syn, 0, 1),
+                                       BPF_STMT(BPF_RET | BPF_K, 0),
+                                       BPF_STMT(BPF_RET | BPF_K, WholeSegment)}};
+    const sock_fprog program{static_cast<unsigned short>(filter.size()), filter.data()};
+    static_cast<void>(::setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program));
+}
+
 /// Number of bytes in one of the socket's queues; 0 if the kernel does not tell.
 std::size_t queuedBytes(int fd, unsigned long request)
 {
@@ -233,6 +253,15 @@
     }
 }
 
+void TcpStream::readNow()
+{
+    if (m_fd < 0 || !m_connected || m_paused) {
+        return;
+    }
+    m_readable = true;
+    readAll();
+}
+
 std::size_t TcpStream::unreadBytes() const
 {
     return queuedBytes(m_fd, SIOCINQ);
@@ -386,6 +415,11 @@
     ::close(m_fd);
 }
 
+void TcpListener::dropConnectionRequests()
+{
+    attachRequestFilter(m_fd);
+}
+
 void TcpListener::onReady(std::uint32_t)
 {
     acceptPending();
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -78,6 +78,9 @@
     /// Stops reading, so that TCP flow control slows down the remote side (back-pressure).
     void pauseInput();
     void resumeInput();
+    /// Reads at once what the kernel holds and hands it to the owner; nothing while input is paused. Call it before a regular close: input may
+    /// have arrived since the loop last waited for events, and a close with unread input discards it and resets the connection.
+    void readNow();
     void shutdownOutput(); ///< sends the queued output, then shuts down the sending side; input continues
     void close(); ///< drops queued output
     void reset(); ///< aborts with RST, so that the remote side does not mistake the end for a regular one
@@ -119,6 +122,9 @@
     /// Binds and listens. Error ListenFailed, which names `setting`, when that fails.
     static Result<std::unique_ptr<TcpListener>> listen(EventLoop &loop, const Endpoint &endpoint, const std::string &setting, AcceptCallback onAccepted);
     ~TcpListener() override;
+    /// From now on the kernel establishes no further connections, apart from handshakes under way. Call it before the last `acceptPending`,
+    /// and destroy the listener right after that: callers that connect in between wait a second before they are refused.
+    void dropConnectionRequests();
     /// Accepts all connections that the kernel has established so far. Call it before the listener is destroyed for a
     /// regular stop, since the kernel resets the connections that were not accepted.
     void acceptPending();
--- a/tests/loop/eventloop_test.cpp
+++ b/tests/loop/eventloop_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <thread>
 
 using namespace Fescuenotch;
@@ -232,6 +233,34 @@
     BOOST_TEST(events.drains == 1);
 }
 
+// A connection that was established between the last accept and the close of the listening socket was reset by the kernel. Needs a kernel
+// that filters the segments of listening sockets.
+BOOST_AUTO_TEST_CASE(listener_callerConnectsAfterTheLastAccept_isNeverEstablished)
+{
+    std::vector<RawSocket> accepted;
+    auto listener = TcpListener::listen(loop, serverAddress(), "test", [&](int fd) { accepted.emplace_back(fd); }).value();
+    auto early = RawSocket::connectTo(serverAddress());
+    listener->dropConnectionRequests();
+    listener->acceptPending();
+    BOOST_REQUIRE(accepted.size() == 1);
+    std::atomic<bool> established{false};
+    std::thread late([&] {
+        try {
+            RawSocket::connectTo(serverAddress());
+            established = true;
+        } catch (const std::runtime_error &) { // refused
+        }
+    });
+    std::this_thread::sleep_for(milliseconds(50));
+    listener->acceptPending();
+    listener.reset();
+    late.join();
+    BOOST_TEST(!established);
+    BOOST_TEST(accepted.size() == 1);
+    BOOST_TEST(accepted.front().send("x"));
+    BOOST_TEST(early.receiveUntil("x") == "x");
+}
+
 BOOST_AUTO_TEST_CASE(stream_paused_readsNothingUntilResumed)
 {
     const RawServer server(serverAddress(), [](RawSocket &socket, unsigned) {
