Stop: idle connections stay open after the end of acceptance and get refusals

Change: idle connections stay open until the exit and late requests get 503 not-run; at the idle timeout, an idle connection whose answers are delivered is closed regularly after a last read, so that a request that crosses the close is reset unread and may be sent again.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -42,8 +42,6 @@
         return "stalled";
     case CallerHttpServer::CloseReason::Unresponsive:
         return "unresponsive";
-    case CallerHttpServer::CloseReason::Stop:
-        return "stop";
     case CallerHttpServer::CloseReason::Exit:
         return "exit";
     }
@@ -101,16 +99,14 @@
     void logDiscardedInput(CloseReason reason)
     {
         if (const auto unread = m_inputEnded ? 0 : m_tcp->unreadBytes(); unread > 0) {
-            countDiscardedInput(reason, unread);
+            m_server.m_discardedInput[reason]->add();
+            logEvent(LogLevel::Warning, "input_discarded")
+                .with("closed_by", closeReasonName(reason))
+                .with("bytes", unread)
+                .with("last_request", m_lastRequestId);
         }
     }
 
-    void countDiscardedInput(CloseReason reason, std::size_t bytes)
-    {
-        m_server.m_discardedInput[reason]->add();
-        logEvent(LogLevel::Warning, "input_discarded").with("closed_by", closeReasonName(reason)).with("bytes", bytes).with("last_request", m_lastRequestId);
-    }
-
     void updateMemoryAccount()
     {
         std::size_t held = m_tcp->pendingBytes();
@@ -146,12 +142,6 @@
         }
     }
 
-    /// Has carried no request yet; its first one may be on the way.
-    bool isUnused() const
-    {
-        return !m_used;
-    }
-
     bool isIdle() const
     {
         return m_requests.empty() && !m_headStarted && m_tcp->pendingBytes() == 0;
@@ -186,19 +176,13 @@
         m_tcp->readNow();
     }
 
-    /// Call it after `readNow`. After the end of the output, input is discarded for LingerTimeout: a request that crosses it would otherwise
-    /// cause a reset, which can make the caller lose the answer before.
-    void closeIfIdle(CloseReason reason)
+    /// Call it after `readNow`. A request that crosses the close is reset unread, so its caller may send it again.
+    void closeIfIdle()
     {
-        if (!m_tcp->isOpen() || !isIdle() || m_lingeringSince || m_resetsWhenDelivered) {
-            return;
+        if (m_tcp->isOpen() && isIdle() && m_delivery.isDelivered()) {
+            logLosses(CloseReason::Idle);
+            close();
         }
-        m_closedIdle = reason;
-        m_inputEnded = true;
-        m_closing = true;
-        m_lingeringSince = now();
-        m_tcp->shutdownOutput();
-        m_tcp->resumeInput();
     }
 
     /// Answers 408 to a header that is not complete in time. Closes the connection if a body stalls, if it is idle for too long, if its
@@ -240,18 +224,13 @@
             close();
             return;
         }
-        closeIfIdle(CloseReason::Idle);
+        closeIfIdle();
     }
 
     void onInput() override
     {
         m_lastInput = now();
-        m_used = true;
         if (m_inputEnded) {
-            if (m_closedIdle) {
-                countDiscardedInput(*m_closedIdle, m_tcp->input().size());
-                m_closedIdle.reset();
-            }
             m_tcp->input().clear();
             return;
         }
@@ -754,9 +733,7 @@
     bool m_closing = false; ///< an answer with `Connection: close`, or one delimited by the close, has begun
     bool m_resetsWhenDelivered = false; ///< an answer was aborted behind complete ones
     bool m_delimitedByClose = false; ///< the close of the connection ends the answer that has begun
-    std::optional<CloseReason> m_closedIdle; ///< until input arrives after the end of the output
     bool m_flushing = false;
-    bool m_used = false; ///< input was received
     std::string m_lastRequestId;
     AnswerDelivery m_delivery;
     MemoryBudget::Account m_account;
@@ -772,7 +749,7 @@
     for (const auto *reason : {"bad-request", "too-large", "slow-head", "leaving"}) {
         m_refusals[reason] = &metrics.counter("fescuenotch_entry_malformed_total", "Requests that were refused before they had a route.", {{"reason", reason}});
     }
-    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::Unresponsive, CloseReason::Stop, CloseReason::Exit}) {
+    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::Unresponsive, CloseReason::Exit}) {
         const Labels labels{{"closed_by", closeReasonName(reason)}};
         m_cutAnswers[reason] = &metrics.counter("fescuenotch_entry_cut_answers_total",
                                                 "Complete answers whose connection this node closed before the caller's host had acknowledged them.",
@@ -814,12 +791,6 @@
         m_listener->acceptPending(); // closing the listening socket resets connections that were not accepted
         m_listener.reset();
     }
-    for (auto *connection : connections()) {
-        connection->readNow();
-        if (!connection->isUnused()) {
-            connection->closeIfIdle(CloseReason::Stop);
-        }
-    }
 }
 
 bool CallerHttpServer::refuseArrived()
--- a/src/forward/callerhttpserver.h
+++ b/src/forward/callerhttpserver.h
@@ -3,7 +3,7 @@
 //
 // How to use: `listen`, and `setLimits` when the configuration changes. At SIGTERM call `beginDrain`: requests that arrive
 // later are still served, but their answers close their connections. `stopAccepting` ends that: it closes the listening
-// socket and idle connections, and requests on the remaining connections get 503 with the outcome "not-run".
+// socket, and further requests on open connections get 503 with the outcome "not-run".
 //
 // Pitfalls:
 // - After an answer that closes its connection no more input is parsed. Requests pipelined behind it have not run, and the
@@ -29,15 +29,15 @@
 class CallerHttpServer
 {
 public:
-    enum class CloseReason { Linger, Idle, Stalled, Unresponsive, Stop, Exit };
+    enum class CloseReason { Linger, Idle, Stalled, Unresponsive, Exit };
 
     CallerHttpServer(EntryContext &context, MetricsRegistry &metrics);
     ~CallerHttpServer();
     Result<void> listen(const Endpoint &endpoint);
     void setLimits(const CallerRequestLimits &limits);
     void beginDrain();
-    /// Refuses new connections and answers further requests on open ones with 503 "not-run". Closes idle connections, except
-    /// those that have not carried a request yet: their first one may be on the way, and its caller is owed an answer.
+    /// Refuses new connections and answers further requests on open ones with 503 "not-run". Idle connections stay open: a request may be on
+    /// its way, and its caller learns more from the refusal than from a close.
     void stopAccepting();
     /// Before the end of the process, after `stopAccepting`: reads what has arrived on all connections and answers requests among it with 503
     /// "not-run". Returns whether there were any.
