--- a/tests/commands/closing_test.cpp
+++ b/tests/commands/closing_test.cpp
@@ -32,7 +32,7 @@
 std::string nextAddress()
 {
     static unsigned host = 0;
-    return "127.23." + std::to_string(::getpid() % 250 + 1) + "." + std::to_string(++host);
+    return "127.25." + std::to_string(::getpid() % 250 + 1) + "." + std::to_string(++host);
 }
 
 /// A connection that stays open, and the requests sent on it.
