--- a/tests/commands/closing_test.cpp
+++ b/tests/commands/closing_test.cpp
@@ -51,7 +51,7 @@
         const auto length = received.find("Content-Length: ");
         const auto size = headEnd == std::string::npos || length > headEnd ? received.size() : headEnd + 4 + std::stoul(received.substr(length + 16));
         while (received.size() < size && socket.receiveSome(received, seconds(5)) > 0) { }
-        const auto answer = received.substr(0, size);
+        auto answer = received.substr(0, size);
         received.erase(0, size);
         return answer;
     }
@@ -82,7 +82,7 @@
     /// Sends a request for which the target takes `takes`, and returns its id.
     std::string send(RawSocket &socket, milliseconds takes = milliseconds(0))
     {
-        const auto id = "r" + std::to_string(m_nextId++);
+        auto id = "r" + std::to_string(m_nextId++);
         socket.send("GET /read/" + std::to_string(takes.count()) + " HTTP/1.1\r\nHost: desk\r\n" + Platform::RequestIdHeader + ": " + id + "\r\n\r\n");
         return id;
     }
--- a/tests/forward/delivery_test.cpp
+++ b/tests/forward/delivery_test.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t SentOfBrokenAnswer = 1'150'000; ///< bytes
 constexpr int ReceiveBuffer = 8 * 1024; ///< bytes; so that an answer waits in the node and not in the test's sockets
 constexpr std::size_t SlowRate = 200'000; ///< bytes a second; three seconds for an answer
-constexpr std::size_t MaxAttempts = 2; ///< of all routes
+constexpr std::size_t Hosts = 2; ///< as many as a request may have attempts
 constexpr milliseconds ReadLimit{8'000}; ///< ms
 
 struct DeliveryFixture : MeshFixture {
@@ -27,7 +27,7 @@
         addNode("desk");
         publish(1, "desk", seconds(10));
         waitReady();
-        for (const std::size_t n : {0, 1}) {
+        for (std::size_t n = 0; n < Hosts; ++n) {
             target(n).setBehaviour([this, n](const Standins::ServerCall &call) {
                 auto reply = target(n).validReply(call, std::string(contains(call.path, "large") ? AnswerBytes : 10, 'x'));
                 if (contains(call.path, "broken")) {
@@ -160,7 +160,7 @@
 BOOST_AUTO_TEST_CASE(request_allTargetsTakeLongerThanUsual_lastAttemptIsNotGivenUp)
 {
     const auto setDelay = [this](milliseconds delay) {
-        for (std::size_t n = 0; n < MaxAttempts; ++n) {
+        for (std::size_t n = 0; n < Hosts; ++n) {
             target(n).setBehaviour([this, n, delay](const Standins::ServerCall &call) { return target(n).delayedReply(call, delay); });
         }
     };
--- a/tests/plugins/targethttp_test.cpp
+++ b/tests/plugins/targethttp_test.cpp
@@ -231,7 +231,7 @@
         socket.send("HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + std::string(40'000, 'x'));
         std::this_thread::sleep_for(milliseconds(openForMs));
     });
-    sink.upload = std::string(16'000'000, 'b');
+    sink.upload.resize(16'000'000, 'b');
     auto r = post(sink.upload);
     r.deadline = Clock::now() + seconds(2);
     const auto result = run(r);
