--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -377,8 +377,12 @@
         sendPending();
     }
     static thread_local std::array<char, ReadBufferBytes> discarded;
-    for (std::size_t n = 0; n<MaxReadPerTurnBytes && ::recv(m_fd, discarded.data(), discarded.size(), 0)> 0;) {
-        n += discarded.size();
+    for (std::size_t bytes = 0; bytes < MaxReadPerTurnBytes;) {
+        const auto n = ::recv(m_fd, discarded.data(), discarded.size(), 0);
+        if (n <= 0) {
+            break;
+        }
+        bytes += static_cast<std::size_t>(n);
     }
     return pendingBytes();
 }
