Read-through: one place asks the kernel for a socket's queues; names and texts of the end of connections

The same ioctl stood in loop, plugins/directanswer and plugins/peerlink; kernel/socketqueue.h serves all three. leaveToKernel is flushBeforeExit on the stream and closeBeforeExit on the server, which are two jobs. The texts of answer_cut, input_discarded and their counters said that an answer was cut when it was only unacknowledged; closed_by is explained once. No change of behaviour.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -30,7 +30,7 @@
     return expect != nullptr && sameHeaderName(*expect, "100-continue");
 }
 
-/// Why this node closes a connection whose caller is still there.
+/// For the logs and metrics of lost answers and input.
 const char *closeReasonName(CallerHttpServer::CloseReason reason)
 {
     switch (reason) {
@@ -154,10 +154,10 @@
     }
 
     /// For the end of the process: ends the connection and logs what is lost by that.
-    void leaveToKernel(UndeliveredOutput &total)
+    void closeBeforeExit(UndeliveredOutput &total)
     {
         logDiscardedInput(CloseReason::Exit);
-        const bool isCut = m_tcp->leaveToKernel() > 0;
+        const bool isCut = m_tcp->flushBeforeExit() > 0;
         updateDelivery();
         if (isCut) {
             logCutAnswers(CloseReason::Exit);
@@ -751,9 +751,8 @@
     }
     for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::Unresponsive, CloseReason::Exit}) {
         const Labels labels{{"closed_by", closeReasonName(reason)}};
-        m_cutAnswers[reason] = &metrics.counter("fescuenotch_entry_cut_answers_total",
-                                                "Complete answers whose connection this node closed before the caller's host had acknowledged them.",
-                                                labels);
+        m_cutAnswers[reason] = &metrics.counter(
+            "fescuenotch_entry_cut_answers_total", "Complete answers that did not arrive whole because their connection was closed.", labels);
         m_discardedInput[reason] = &metrics.counter(
             "fescuenotch_entry_discarded_input_total", "Connections of callers that this node closed with input that it had not read.", labels);
     }
@@ -827,12 +826,12 @@
     return n;
 }
 
-UndeliveredOutput CallerHttpServer::leaveToKernel()
+UndeliveredOutput CallerHttpServer::closeBeforeExit()
 {
     UndeliveredOutput total;
     for (auto *connection : connections()) {
         connection->logUnanswered();
-        connection->leaveToKernel(total);
+        connection->closeBeforeExit(total);
     }
     return total;
 }
--- a/src/forward/callerhttpserver.h
+++ b/src/forward/callerhttpserver.h
@@ -29,6 +29,7 @@
 class CallerHttpServer
 {
 public:
+    /// Why a connection was closed whose caller was still there.
     enum class CloseReason { Linger, Idle, Stalled, Unresponsive, Exit };
 
     CallerHttpServer(EntryContext &context, MetricsRegistry &metrics);
@@ -48,7 +49,7 @@
     void updateMemoryAccounts();
     /// For the end of the process, once the loop has ended: ends all connections and leaves to the kernel what it takes of their output. Logs
     /// a line for each request and answer that is cut by that, and returns what was not delivered.
-    UndeliveredOutput leaveToKernel();
+    UndeliveredOutput closeBeforeExit();
     TimePoint lastRequestAt() const
     {
         return m_lastRequestAt;
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -242,7 +242,7 @@
     m_loop.run();
     m_store->stop();
     const auto inFlight = m_callerServer->requestsInFlight();
-    const auto undelivered = m_callerServer->leaveToKernel();
+    const auto undelivered = m_callerServer->closeBeforeExit();
     logEvent(LogLevel::Info, "node_left")
         .with("in_flight", inFlight)
         .with("undelivered_answers", undelivered.answers)
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -1,15 +1,14 @@
 // Sections: [socket options] [opening] [input] [output] [end] [listener]
 #include "loop/tcpstream.h"
 
+#include "kernel/socketqueue.h"
 #include "plugins/listensocket.h"
 
 #include <arpa/inet.h>
 #include <linux/filter.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -66,13 +65,6 @@
     static_cast<void>(::setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program));
 }
 
-/// Number of bytes in one of the socket's queues; 0 if the kernel does not tell.
-std::size_t queuedBytes(int fd, unsigned long request)
-{
-    int bytes = 0;
-    return fd >= 0 && ::ioctl(fd, request, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
-}
-
 void setSocketOptions(int fd, const StreamOptions &options)
 {
     const auto interval = std::max<int>(1, static_cast<int>(options.unresponsiveTimeout.count() / 1'000 / (KeepAliveProbes + 1)));
@@ -270,7 +262,7 @@
 
 std::size_t TcpStream::unreadBytes() const
 {
-    return queuedBytes(m_fd, SIOCINQ);
+    return Fescuenotch::unreadBytes(m_fd);
 }
 
 void TcpStream::pauseInput()
@@ -307,7 +299,7 @@
 
 std::size_t TcpStream::unacknowledgedBytes() const
 {
-    return queuedBytes(m_fd, SIOCOUTQ);
+    return Fescuenotch::unacknowledgedBytes(m_fd);
 }
 
 void TcpStream::scheduleFlush()
@@ -364,7 +356,7 @@
     }
 }
 
-std::size_t TcpStream::leaveToKernel()
+std::size_t TcpStream::flushBeforeExit()
 {
     if (m_fd < 0) {
         return 0;
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -89,7 +89,7 @@
     void shutdownOutput(); ///< sends the queued output, then shuts down the sending side; input continues
     /// For the end of the process: passes as much output to the kernel as it takes, and discards unread input, which would turn the close into a
     /// reset. The kernel goes on sending without the process. Returns the bytes of output that the kernel did not take.
-    std::size_t leaveToKernel();
+    std::size_t flushBeforeExit();
     void close(); ///< drops queued output
     void reset(); ///< aborts with RST, so that the remote side does not mistake the end for a regular one
 
--- a/src/mesh/hangdetector.cpp
+++ b/src/mesh/hangdetector.cpp
@@ -12,7 +12,7 @@
 
 constexpr double RecentWeight = 0.1; ///< of the newest sample; follows a target that becomes slow
 constexpr double SteadyWeight = 0.02; ///< of the newest sample; a few fast answers in a row must not make the others look hung
-constexpr unsigned MinAnswers = 10; ///< of a kind, before their mean is its usual time; the first ones gave 3 ms for requests of 300 ms (issue 46)
+constexpr unsigned MinAnswers = 10; ///< of a kind, before their mean counts as its usual time; the first few may be much faster than the rest
 constexpr std::size_t MaxKinds = 1'024; ///< bounds memory; beyond this the means start over
 constexpr double SlowestDecay = 0.995; ///< per answer; the slowest of about the last hundred answers counts
 constexpr double FirstSlowest = 10; ///< multiple of the mean; assumed of a target until its answers show less
--- a/src/plugins/callerhttp.cpp
+++ b/src/plugins/callerhttp.cpp
@@ -1,6 +1,7 @@
 #include "plugins/callerhttp.h"
 
 #include "kernel/plugin.h"
+#include "kernel/socketqueue.h"
 #include "plugins/callerconnection.h"
 #include "plugins/directanswer.h"
 #include "plugins/listensocket.h"
--- a/src/plugins/directanswer.cpp
+++ b/src/plugins/directanswer.cpp
@@ -1,11 +1,11 @@
 #include "plugins/directanswer.h"
 
+#include "kernel/socketqueue.h"
+
 #include <microhttpd.h>
 #include <nlohmann/json.hpp>
 
-#include <linux/sockios.h>
 #include <poll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -90,12 +90,6 @@
 
 } // namespace
 
-std::size_t unacknowledgedBytes(int fd)
-{
-    int bytes = 0;
-    return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
-}
-
 void endOutput(int fd, milliseconds stallLimit)
 {
     ::shutdown(fd, SHUT_WR);
--- a/src/plugins/directanswer.h
+++ b/src/plugins/directanswer.h
@@ -12,8 +12,6 @@
 
 /// Writes the whole answer with Connection: close, then ends the output. Gives up when the caller reads nothing for `stallLimit`.
 void writeDirectAnswer(int fd, CallerResponse response, bool isHead, milliseconds stallLimit);
-/// Bytes that the kernel has taken and the caller's host has not acknowledged; 0 where the kernel does not tell.
-std::size_t unacknowledgedBytes(int fd);
 /// Shuts the sending side and discards input until all output is delivered, and for a short time after that. Otherwise closing the socket
 /// with unread input would make the kernel discard what it still holds. Returns early when the caller closes, or takes nothing for
 /// `stallLimit`.
--- a/src/plugins/peerlink/link.cpp
+++ b/src/plugins/peerlink/link.cpp
@@ -2,11 +2,10 @@
 #include "plugins/peerlink/link.h"
 
 #include "kernel/socketaddress.h"
+#include "kernel/socketqueue.h"
 
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -510,8 +509,7 @@
 bool Link::hasUndelivered() const
 {
     const std::lock_guard lock(m_mutex);
-    int unacknowledged = 0;
-    return !m_closed && (!m_out.empty() || !m_held.empty() || (::ioctl(m_fd, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0));
+    return !m_closed && (!m_out.empty() || !m_held.empty() || unacknowledgedBytes(m_fd) > 0);
 }
 
 Endpoint Link::peer() const
