--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -37,7 +37,7 @@
     return shape;
 }
 
-/// Whether a stop of the node began before the call ended and lasted, as planned, until `time` at most.
+/// Whether the node was stopped by plan during the call, so that its SIGKILL was due before `time`.
 bool endsBefore(TimePoint time, const Tests::CallOutcome &call, const SoakHost &host)
 {
     const auto stops = host.stops();
--- a/tests/forward/delivery_test.cpp
+++ b/tests/forward/delivery_test.cpp
@@ -92,6 +92,7 @@
     BOOST_TEST(std::count(answers.begin(), answers.end(), 'x') >= static_cast<std::ptrdiff_t>(AnswerBytes), "got " << answers.size() << " bytes");
     BOOST_TEST(std::count(answers.begin(), answers.end(), 'y') < static_cast<std::ptrdiff_t>(BrokenAnswerBytes)); // the second one does not look complete
     BOOST_TEST(!contains(answers, "502"));
+    BOOST_TEST(socket.wasReset());
 }
 
 /// Guards against a caller that never reads and keeps its answer in the node for good, and against a cut that no line or counter shows.
--- a/tests/forward/linkdelivery_test.cpp
+++ b/tests/forward/linkdelivery_test.cpp
@@ -98,9 +98,21 @@
     std::thread m_receiver;
 };
 
+struct LinkDeliveryFixture : MeshFixture {
+    /// The answer to a request with a body of 2 MB, from a target that runs `script`.
+    std::string postToTarget(RawServer::Script script)
+    {
+        addNode("feed");
+        addRawNode("desk", std::move(script));
+        publish(1, "desk", seconds(10));
+        waitReady();
+        return post(0, "/file/x", std::string(2'000'000, 'b'));
+    }
+};
+
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(LinkDeliveryTest, MeshFixture)
+BOOST_FIXTURE_TEST_SUITE(LinkDeliveryTest, LinkDeliveryFixture)
 
 // ---- [stop] -----------------------------------------------------------------------------------------------------
 
@@ -155,22 +167,14 @@
 /// Guards against a complete answer that is lost because the target gave it before it had read the request's body.
 BOOST_AUTO_TEST_CASE(target_answersBeforeItReadsTheBody_answerIsComplete)
 {
-    addNode("feed");
-    addRawNode("desk", earlyAnswer(milliseconds(500)));
-    publish(1, "desk", seconds(10));
-    waitReady();
-    const auto answer = post(0, "/file/x", std::string(2'000'000, 'b'));
+    const auto answer = postToTarget(earlyAnswer(milliseconds(500)));
     BOOST_TEST(isComplete(answer), "got " << answer.size() << " bytes: " << answer.substr(0, 300));
 }
 
 /// As above, and the connection ends with a reset before this node has read the answer.
 BOOST_AUTO_TEST_CASE(target_answersAndClosesBeforeItReadsTheBody_answerIsComplete)
 {
-    addNode("feed");
-    addRawNode("desk", earlyAnswer(milliseconds(0)));
-    publish(1, "desk", seconds(10));
-    waitReady();
-    const auto answer = post(0, "/file/x", std::string(2'000'000, 'b'));
+    const auto answer = postToTarget(earlyAnswer(milliseconds(0)));
     BOOST_TEST(isComplete(answer), "got " << answer.size() << " bytes: " << answer.substr(0, 300));
 }
 
