--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -623,13 +623,14 @@
     return m_runs.size();
 }
 
-Host::Host(Store &store, unsigned number, const std::string &zone, const std::string &service)
+Host::Host(Store &store, unsigned number, const std::string &zone, const std::string &service, unsigned slots)
     : m_store(store)
     , m_number(number)
     , m_ip(address(number))
     , m_id("i-" + std::to_string(number) + newRequestId().substr(0, 8))
     , m_zone(zone)
     , m_service(service)
+    , m_slots(slots)
     , m_folder(temporaryFolder() + "/host-" + std::to_string(number))
     , m_bornMs(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
 {
@@ -661,8 +662,8 @@
     }
     m_store.put("servers/" + m_id,
                 R"({"service":")" + m_service + R"(","address":")" + m_ip + ":" + std::to_string(BackendPort) + R"(","zone":")" + m_zone
-                    + R"(","version":"v1","max_concurrency":18,"state":")" + m_state + R"(","cold_remaining":"0ms","sequence":)" + std::to_string(++m_sequence)
-                    + R"(,"born":)" + std::to_string(m_bornMs) + "}");
+                    + R"(","version":"v1","max_concurrency":)" + std::to_string(m_slots) + R"(,"state":")" + m_state + R"(","cold_remaining":"0ms","sequence":)"
+                    + std::to_string(++m_sequence) + R"(,"born":)" + std::to_string(m_bornMs) + "}");
 }
 
 void Host::beat()
@@ -694,6 +695,12 @@
     m_store.remove("servers/" + m_id);
 }
 
+void Host::stopBackend()
+{
+    removeEntry();
+    m_backend->stop();
+}
+
 void Host::startNode()
 {
     const auto file = m_folder + "/settings.json";
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -201,7 +201,7 @@
     static constexpr unsigned ReadinessPort = 8140;
     static constexpr unsigned BackendPort = 8147;
 
-    Host(Store &store, unsigned number, const std::string &zone, const std::string &service);
+    Host(Store &store, unsigned number, const std::string &zone, const std::string &service, unsigned slots = 18);
     ~Host();
     void serveBackend(Server::Serve serve, int receiveBuffer = 0); ///< before `startNode`
     void startNode();
@@ -211,6 +211,7 @@
     bool waitReady(milliseconds limit);
     void setState(const std::string &state); ///< of the entry; written at once
     void removeEntry();
+    void stopBackend(); ///< it exits: its connections end and new ones are refused; its entry is not written any more
     const std::string &ip() const
     {
         return m_ip;
@@ -230,6 +231,7 @@
     std::string m_id;
     std::string m_zone;
     std::string m_service;
+    unsigned m_slots;
     std::string m_folder;
     std::string m_state = "ready";
     bool m_listed = true;
