--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,7 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/fescuenotch ] && [ -x "target/review-2/case-$(basename "$folder")" ] || exit 2
-RECORD="$folder/record.txt" exec timeout -k 1 115 "target/review-2/case-$(basename "$folder")"
+RECORD="$folder/record.txt" timeout -k 1 115 "target/review-2/case-$(basename "$folder")"
+result=$?
+[ "$result" -le 1 ] || result=2
+exit "$result"
