--- a/tests/commands/memory_test.cpp
+++ b/tests/commands/memory_test.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstdlib>
 #include <map>
 #include <sstream>
 
@@ -23,7 +22,6 @@
 constexpr milliseconds StartLimit{10'000}; ///< ms
 constexpr double MemoryMegabytes = 160;
 constexpr double BudgetShare = 0.15; ///< of the memory; for buffered bytes
-constexpr double BytesPerKilobyte = 1'024; ///< of /proc
 constexpr std::size_t SlowCallers = 300;
 constexpr std::size_t AnswerBytes = 800'000;
 constexpr int ReceiveBuffer = 4'096; ///< bytes; so that the answers wait in the node and not in the test's sockets
@@ -38,14 +36,6 @@
     return "127.23." + std::to_string(::getpid() % 250 + 1) + "." + std::to_string(++host);
 }
 
-/// "VmHWM" or "VmRSS" of a process in MB.
-double memoryOf(pid_t pid, const std::string &field)
-{
-    const auto status = Standins::readFile("/proc/" + std::to_string(pid) + "/status");
-    const auto at = status.find(field + ":");
-    return at == std::string::npos ? 0 : std::strtod(status.c_str() + at + field.size() + 1, nullptr) * BytesPerKilobyte / 1e6;
-}
-
 /// Refusals in a node's log, as "REASON count" by second.
 std::string refusalsByReason(const std::string &log)
 {
--- a/tests/support/nodeprocess.cpp
+++ b/tests/support/nodeprocess.cpp
@@ -23,6 +23,7 @@
 constexpr unsigned TargetConnections = 256;
 constexpr unsigned ReadsPerSecond = 100; ///< of a caller that reads at a given rate
 constexpr milliseconds ReconnectDelay{20}; ///< ms
+constexpr double BytesPerKilobyte = 1'024; ///< of /proc
 constexpr milliseconds RunStep{5}; ///< ms between looks whether the caller has left
 
 std::string headerOf(const Standins::ServerCall &call, const char *name)
@@ -191,7 +192,10 @@
                         {"bounds", {{"grace", std::to_string(m_place.stopLimit.count()) + "ms"}}},
                         {"platform", {{"address", toString(m_place.store)}, {"reads_per_s", 2'000}}}};
     if (m_place.memoryMegabytes > 0) {
-        json["limits"] = {{"memory_mb", m_place.memoryMegabytes}};
+        json["limits"]["memory_mb"] = m_place.memoryMegabytes;
+    }
+    if (m_place.maxDescriptors > 0) {
+        json["limits"]["max_fds"] = m_place.maxDescriptors;
     }
     return json.dump();
 }
@@ -359,6 +363,20 @@
     }
 }
 
+double memoryOf(pid_t pid, const std::string &field)
+{
+    const auto status = Standins::readFile("/proc/" + std::to_string(pid) + "/status");
+    const auto at = status.find(field + ":");
+    return at == std::string::npos ? 0 : std::strtod(status.c_str() + at + field.size() + 1, nullptr) * BytesPerKilobyte / 1e6;
+}
+
+std::size_t openDescriptors(pid_t pid)
+{
+    std::error_code ec;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(pid) + "/fd", ec);
+    return ec ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 std::vector<std::string> threadsThatTakeSignals(pid_t pid)
 {
     const auto bit = [](int number) { return 1ULL << static_cast<unsigned>(number - 1); };
--- a/tests/support/nodeprocess.h
+++ b/tests/support/nodeprocess.h
@@ -74,6 +74,7 @@
     Endpoint store;
     milliseconds stopLimit{4'000}; ///< ms; from SIGTERM to SIGKILL
     double memoryMegabytes = 0; ///< MB; memory limit of the host; 0: none
+    unsigned maxDescriptors = 0; ///< file descriptors of the node's process; 0: no limit is stated
 };
 
 class NodeProcess
@@ -184,6 +185,10 @@
     bool m_kept = false;
 };
 
+/// "VmHWM" or "VmRSS" of a process in MB.
+double memoryOf(pid_t pid, const std::string &field);
+std::size_t openDescriptors(pid_t pid); ///< of a process; 0 when it has ended
+
 /// Names of the threads of a process that do not block each of SIGTERM, SIGINT and SIGHUP. While a thread waits for signals, the
 /// kernel shows them as not blocked in it.
 std::vector<std::string> threadsThatTakeSignals(pid_t pid);
