Load balancer: a long service time alone makes no target cold

Callers saw every request refused as target-cold (429) by all nodes, though no target was cold, for as long as the nodes ran. Cause: isColdBeyond compares the wait for a target's rate with the time left less its service time. Where the mean service time exceeds the time left, that difference is negative, so a wait of zero was too long. The refusals keep work from the targets, and without work the service time is never measured again.

A target without a wait for its rate is no longer taken as cold. Test: coldstart_test, serviceTimeExceedsTheDeadlineAndNoneIsCold; it failed before this change.

--- a/src/mesh/loadbalancer.cpp
+++ b/src/mesh/loadbalancer.cpp
@@ -283,7 +283,8 @@
         const auto &state = it->second;
         const double rate = std::max(state.report.requestRate.value_or(state.coldRate), RateLimiter::ProbeRate);
         const double waitOfOthers = highestPriority ? state.report.waiting / rate : 0;
-        return rateDelay(now, state) - waitOfOthers > secondsOf(timeLeft - state.report.meanServiceTime);
+        const double wait = rateDelay(now, state) - waitOfOthers;
+        return wait > 0 && wait > secondsOf(timeLeft - state.report.meanServiceTime);
     });
 }
 
--- a/src/mesh/loadbalancer.h
+++ b/src/mesh/loadbalancer.h
@@ -86,7 +86,8 @@
     /// 0 if that is not limited.
     void onEntries(TimePoint now, const std::vector<TargetRecord> &targets, const std::function<double(const std::string &service)> &coldRateOf);
     /// Whether every target that may be chosen is of a service with a cold rate and has a rate limit that allows no further request
-    /// within `timeLeft`. A request of the highest priority goes ahead of those that wait at the target.
+    /// within `timeLeft`. A request of the highest priority goes ahead of those that wait at the target. A long service time alone is no
+    /// reason: without further requests it would never be measured again.
     bool
     isColdBeyond(TimePoint now, const std::vector<TargetRecord> &candidates, const BalancedRequest &request, Duration timeLeft, bool highestPriority) const;
     /// Response size of a kind of request; large responses are charged for their transfer.
--- a/tests/mesh/coldstart_test.cpp
+++ b/tests/mesh/coldstart_test.cpp
@@ -428,4 +428,17 @@
     BOOST_TEST(!balancer.isColdBeyond(now, targets, request, milliseconds(800), true));
 }
 
+/// Guards against targets that are taken as cold for good: refused requests would never correct the service time.
+BOOST_FIXTURE_TEST_CASE(balancer_serviceTimeExceedsTheDeadlineAndNoneIsCold_isNotColdBeyond, ColdBalancerFixture)
+{
+    targets[0].coldRemaining = milliseconds(0);
+    learnEntries();
+    TargetReport report;
+    report.limit = 20;
+    report.meanServiceTime = milliseconds(2'000);
+    balancer.onReport(now, "a", report);
+    balancer.onReport(now, "b", report);
+    BOOST_TEST(!balancer.isColdBeyond(now, targets, {"read", milliseconds(300), {}}, milliseconds(800), false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
