Admission: an old service time refuses no request for good

Callers with less time than a target's last mean service time were refused as wait-too-long by its exit node, whatever the target did since. Cause: the queue refuses a request whose deadline the service time of its kind exceeds, also when nothing of that kind runs; the time is then never measured again.

A service time counts for that refusal while a request of the kind runs, or as long after its last sample as the request has left. Then one request is started and measures the target anew. A time that was just measured refuses as before (offer_deadlineCannotBeMet_isRefusedDespiteFreeSlots).

Test: admissionqueue_test, offer_oldServiceTimeExceedsTheDeadline_oneRequestMeasuresItAgain; before the change the second start is refused.

--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -61,6 +61,12 @@
     return durationOf(it == m_meanByKind.end() ? m_mean.value : it->second.value);
 }
 
+TimePoint ServiceTimes::measuredAt(const std::string &kind) const
+{
+    const auto it = m_meanByKind.find(kind);
+    return it == m_meanByKind.end() ? m_mean.at : it->second.at;
+}
+
 Duration ServiceTimes::mean() const
 {
     return durationOf(m_mean.value);
@@ -131,6 +137,14 @@
     return m_running.size() < limit() && m_rate.maySend(now);
 }
 
+bool AdmissionQueue::isServiceTimeCurrent(TimePoint now, const AdmissionRequest &request) const
+{
+    const bool isBeingMeasured = std::any_of(m_running.begin(), m_running.end(), [&](const auto &each) {
+        return each.second.kind == request.kind && each.second.bodyComplete;
+    });
+    return isBeingMeasured || now - m_times.measuredAt(request.kind) < request.deadline - now;
+}
+
 Duration AdmissionQueue::estimatedWait(TimePoint now, std::size_t ahead) const
 {
     return std::max(slotWait(ahead), m_rate.waitFor(now, ahead));
@@ -216,7 +230,7 @@
 void AdmissionQueue::start(TimePoint now, const AdmissionRequest &request)
 {
     m_rate.onSent(now);
-    m_running.emplace(request.id, RunningRequest{request.kind, request.priority, now});
+    m_running.emplace(request.id, RunningRequest{request.kind, request.priority, now, request.bodyComplete});
     ++m_priorities[request.priority];
     noteStarted(request.kind);
     m_limit = std::min<double>(m_settings.slots, m_limit + LimitIncreasePerStart);
@@ -228,7 +242,7 @@
     if (now >= request.deadline) {
         return refusal(now, Reason::DeadlinePassed);
     }
-    if (!meetsDeadline(now, request, Duration(0))) {
+    if (!meetsDeadline(now, request, Duration(0)) && isServiceTimeCurrent(now, request)) {
         return refusal(now, Reason::WaitTooLong);
     }
     const bool lateOnArrival = !meetsGoal(now, request, Duration(0));
@@ -421,6 +435,15 @@
     m_rate.restart(now);
 }
 
+void AdmissionQueue::onSentCompletely(TimePoint now, AdmissionId id)
+{
+    const auto it = m_running.find(id);
+    if (it != m_running.end() && !it->second.bodyComplete) {
+        it->second.startedAt = now;
+        it->second.bodyComplete = true;
+    }
+}
+
 void AdmissionQueue::onResent(TimePoint now)
 {
     m_rate.onSent(now);
@@ -457,6 +480,9 @@
     const double measured = secondsOf(m_times.typical());
     double reported = measured;
     for (const auto &[id, running] : m_running) {
+        if (!running.bodyComplete) {
+            continue; // it waits for its caller, not for the target
+        }
         const double atLeast = std::min(secondsOf(now - running.startedAt), MaxOutlier * measured);
         reported += MinSampleWeight * std::max(0.0, atLeast - reported);
     }
--- a/src/mesh/admissionqueue.h
+++ b/src/mesh/admissionqueue.h
@@ -43,6 +43,7 @@
     unsigned priority = 0; ///< 0 is the highest
     TimePoint goal; ///< latency goal: a response by then is worth most
     TimePoint deadline; ///< a response after this is useless
+    bool bodyComplete = true; ///< false: its caller is still sending it, see AdmissionQueue::onSentCompletely
 };
 
 /// Load report of an exit node about its target, sent with responses and heartbeats.
@@ -88,6 +89,7 @@
 public:
     void add(TimePoint now, const std::string &kind, Duration service);
     Duration of(const std::string &kind) const; ///< for an unknown kind the mean over all kinds; 0 without any sample
+    TimePoint measuredAt(const std::string &kind) const; ///< newest sample behind `of`
     Duration mean() const;
     /// Mean over all kinds in which a sample counts at most three times the mean of its kind: steadier than `mean`, for comparing targets.
     /// A few requests of any kind take far longer than the others and say nothing about the target.
@@ -136,6 +138,8 @@
     void limitRequestRate(TimePoint now, double perSecond, Reason limitedBy);
     /// What reached the target before is not known, or reached another process: the rate limit starts without a burst.
     void restartRequestRate(TimePoint now);
+    /// The target has all of a running request whose body was not complete at its start. Until then its time says nothing about the target.
+    void onSentCompletely(TimePoint now, AdmissionId id);
     /// A running request was sent to the target once more, or a health probe.
     void onResent(TimePoint now);
     /// Requests that the target may get at once without hanging, see mesh/hangdetector.h.
@@ -168,7 +172,8 @@
     struct RunningRequest {
         std::string kind;
         unsigned priority = 0;
-        TimePoint startedAt;
+        TimePoint startedAt; ///< or when it was sent completely, if that was later
+        bool bodyComplete = true;
     };
     struct Share {
         double offered = 0; ///< requests, decaying
@@ -185,6 +190,9 @@
     TimePoint latestStartPastGoal(TimePoint now,
                                   const AdmissionRequest &request) const; ///< a request of the highest priority is refused if not started by then
     void forgetPriority(unsigned priority);
+    /// The service time of the request's kind is being measured, or was within the time that this request has left. One that is older may be
+    /// long past, so a request is started although that time exceeds its deadline: refusals would never correct it.
+    bool isServiceTimeCurrent(TimePoint now, const AdmissionRequest &request) const;
     bool mayStart(TimePoint now) const; ///< a slot is free and the rate allows a request
     Duration slotWait(std::size_t ahead) const; ///< until a slot is free for a request with this many ahead of it
     double reportedServiceTime(TimePoint now) const; ///< in seconds
--- a/tests/mesh/admissionqueue_test.cpp
+++ b/tests/mesh/admissionqueue_test.cpp
@@ -561,4 +561,42 @@
     BOOST_TEST(changes.started[0] == waiting.id);
 }
 
+/// Guards against a kind that is refused for good by a service time that no request measures again.
+BOOST_AUTO_TEST_CASE(offer_oldServiceTimeExceedsTheDeadline_oneRequestMeasuresItAgain)
+{
+    AdmissionQueue queue(slots(10));
+    learnServiceTime(queue, "read", milliseconds(2'000));
+    BOOST_REQUIRE((queue.offer(now, filing(seconds(10), seconds(20))).kind == Kind::Start)); // another kind does not measure this one
+    BOOST_TEST((queue.offer(now, read()).kind == Kind::Refuse));
+    now += milliseconds(800);
+    const auto first = read();
+    BOOST_TEST((queue.offer(now, first).kind == Kind::Start));
+    BOOST_TEST((queue.offer(now, read()).kind == Kind::Refuse));
+    now += milliseconds(20);
+    queue.finished(now, first.id, milliseconds(20));
+    now += seconds(2);
+    BOOST_TEST((queue.offer(now, read()).kind == Kind::Start));
+}
+
+/// Guards against callers that never end their bodies and make the target look slow to all nodes.
+BOOST_AUTO_TEST_CASE(report_runningRequestsWithoutTheirBodies_doNotRaiseTheServiceTime)
+{
+    AdmissionQueue queue(slots(10));
+    learnServiceTime(queue, "filing", milliseconds(20));
+    const auto before = queue.report(now).meanServiceTime;
+    std::vector<AdmissionId> ids;
+    for (int n = 0; n < 10; ++n) {
+        auto unfinished = filing();
+        unfinished.bodyComplete = false;
+        ids.push_back(unfinished.id);
+        BOOST_REQUIRE((queue.offer(now, unfinished).kind == Kind::Start));
+    }
+    now += milliseconds(800);
+    BOOST_TEST((queue.report(now).meanServiceTime == before));
+    queue.onSentCompletely(now, ids.front());
+    BOOST_TEST((queue.report(now).meanServiceTime == before));
+    now += milliseconds(100);
+    BOOST_TEST((queue.report(now).meanServiceTime > before));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
