Exit node: the time that a caller needs for its body is not the target's

Requests with less time than the route's timeout were refused as wait-too-long, queue-full or, for services with a cold rate, as target-cold by all nodes, after a few callers had not ended their bodies. Cause: a body above 64 KB is passed on while it arrives; at the deadline the exit node counted the whole time since the start as a service time of the target, and the request as one that the target failed. Running requests without their bodies raised the reported service time as well.

The service time is now counted from the moment at which the whole request was passed to the target; without that moment there is none, and no failure.

--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -86,7 +86,7 @@
     /// Goal and deadline are those of the request less the time that the answer needs to reach the entry node.
     AdmissionRequest admissionRequest() const
     {
-        return {m_id, m_request.route, m_request.priority, m_request.goal - m_transferTime, m_request.deadline - m_transferTime};
+        return {m_id, m_request.route, m_request.priority, m_request.goal - m_transferTime, m_request.deadline - m_transferTime, m_request.bodyComplete};
     }
 
     void start()
@@ -263,17 +263,26 @@
     /// would only be answered with an error while the target works on it.
     void noteSent()
     {
+        const auto now = m_dispatcher.m_loop.turnTime();
+        m_sentAt = now;
+        m_dispatcher.m_queue.onSentCompletely(now, m_id);
         const bool mayRunTwice = m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete && !m_request.entryStops && !m_request.isLastAttempt;
         m_dispatcher.onSent({m_id, m_request.route, mayRunTwice, m_request.deadline});
     }
 
+    /// Time that the target had the whole request; zero without its end, since the time until then is the caller's.
+    Duration serviceTime(TimePoint now) const
+    {
+        return m_sentAt ? now - *m_sentAt : Duration(0);
+    }
+
     void endAnswered()
     {
         const auto now = m_dispatcher.m_loop.turnTime();
         m_dispatcher.recordResult(isServerError(m_status));
         m_dispatcher.recordAnswerSize(m_request.route, m_answerBytes);
         m_dispatcher.m_serviceTime.record(now - m_startedAt);
-        m_dispatcher.onColdnessAnswer(m_request.route, isServerError(m_status) ? Duration(0) : now - m_startedAt);
+        m_dispatcher.onColdnessAnswer(m_request.route, isServerError(m_status) ? Duration(0) : serviceTime(now));
         if (m_dispatcher.m_onAnswered) {
             m_dispatcher.m_onAnswered(m_request.fingerprint);
         }
@@ -282,7 +291,7 @@
         end.complete = true;
         end.offered = true;
         const bool representative = !isServerError(m_status) && !m_dispatcher.m_hangs.sawPause(now, m_id);
-        finish(end, representative ? now - m_startedAt : Duration(0));
+        finish(end, representative ? serviceTime(now) : Duration(0));
     }
 
     void endRejected()
@@ -356,23 +365,23 @@
     {
         const auto now = m_dispatcher.m_loop.turnTime();
         m_connection->abandon();
-        if (reason == Reason::DeadlinePassed || reason == Reason::TargetHung) {
+        if (m_sentAt && (reason == Reason::DeadlinePassed || reason == Reason::TargetHung)) {
             m_dispatcher.recordResult(true);
         }
         ForwardEnd end;
         end.reason = reason;
         end.offered = true;
         const bool representative = reason == Reason::DeadlinePassed && !m_dispatcher.m_hangs.isHungAtFullTarget(m_id);
-        const auto serviceTime = representative ? now - m_startedAt : Duration(0);
+        const auto countedTime = representative ? serviceTime(now) : Duration(0);
         m_dispatcher.m_hangs.onEnded(now, m_id, false);
         m_deadlineTimer.cancel();
         auto &dispatcher = m_dispatcher;
         const auto id = m_id;
         dispatcher.removeRequest(id, end.outcome);
         // The target takes a moment to notice that its connection was reset; its slot is occupied until then.
-        dispatcher.m_loop.timers().after(SlotReleaseDelay, [&dispatcher, id, serviceTime, alive = std::weak_ptr(dispatcher.m_alive)](TimePoint) {
+        dispatcher.m_loop.timers().after(SlotReleaseDelay, [&dispatcher, id, countedTime, alive = std::weak_ptr(dispatcher.m_alive)](TimePoint) {
             if (!alive.expired()) {
-                dispatcher.releaseSlot(id, serviceTime);
+                dispatcher.releaseSlot(id, countedTime);
             }
         });
         notifyEnded(end);
@@ -405,6 +414,7 @@
     TimePoint m_enqueuedAt;
     Duration m_transferTime; ///< expected on arrival, see answerTransferTime
     TimePoint m_startedAt;
+    std::optional<TimePoint> m_sentAt; ///< when the whole request was passed to the connection; none before that
     ScopedTimer m_deadlineTimer;
     std::unique_ptr<TargetConnection> m_connection;
     std::string m_pendingBody; ///< body received while the request was queued, with chunk framing if needed
