Streams: a nearly empty buffer keeps no more than 4 KB

A node's memory grew with the number of its callers' connections, by 64 KB to 256 KB each. Cause: the buffers of a connection gave their memory back only when they were empty and above 64 KB; one that had received 64 KB kept them, and a few bytes of a chunk header kept all that the buffer ever had.

A buffer with at most 4 KB in it is now reduced to what it holds.

--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -24,18 +24,19 @@
 namespace {
 
 constexpr std::size_t ReadBufferBytes = 65'536; ///< bytes per read call
-constexpr std::size_t MaxReadPerTurnBytes = 262'144; ///< bytes read from one socket per turn, so that the others are served too
+constexpr std::size_t MaxDiscardedBytes = 262'144; ///< bytes of input discarded before the end of the process
 constexpr std::size_t CompactAfterBytes = 65'536; ///< bytes; sent bytes stay at the front of the output buffer up to this size
 constexpr milliseconds AcceptRetryDelay{100}; ///< ms; delay until accepting is retried when there are no free file descriptors
 constexpr int KeepAliveProbes = 2; ///< unanswered keep-alive probes that end a connection
 
-constexpr std::size_t KeptCapacityBytes = 65'536; ///< bytes; an empty buffer keeps no more memory than this
+constexpr std::size_t KeptCapacityBytes = 4'096; ///< bytes; a buffer that holds no more than this keeps no more memory than this
 
-/// Connections stay open for long, so their buffers must not keep the size of the largest message.
-void releaseIfEmpty(std::string &buffer)
+/// Connections stay open for long and are many, so their buffers must not keep the size of the largest message. A part of a head or of a chunk
+/// header may stay in the buffer.
+void releaseUnused(std::string &buffer)
 {
-    if (buffer.empty() && buffer.capacity() > KeptCapacityBytes) {
-        std::string().swap(buffer);
+    if (buffer.size() <= KeptCapacityBytes && buffer.capacity() > KeptCapacityBytes) {
+        std::string(buffer).swap(buffer);
     }
 }
 
@@ -144,6 +145,7 @@
     , m_fd(fd)
     , m_connected(connected)
     , m_readsToEnd(options.readsToEnd)
+    , m_maxReadPerTurnBytes(options.maxReadPerTurnBytes)
     , m_self(std::make_shared<TcpStream *>(this))
 {
     if (fd >= 0) {
@@ -220,7 +222,7 @@
     const auto before = m_input.size();
     bool ended = false;
     auto cause = CloseCause::EndOfStream;
-    while (m_readable && m_input.size() - before < MaxReadPerTurnBytes) {
+    while (m_readable && m_input.size() - before < m_maxReadPerTurnBytes) {
         const auto n = ::recv(m_fd, buffer.data(), buffer.size(), 0);
         if (n > 0) {
             m_input.append(buffer.data(), static_cast<std::size_t>(n));
@@ -244,7 +246,7 @@
         m_events.onInput();
     }
     if (!alive.expired()) {
-        releaseIfEmpty(m_input);
+        releaseUnused(m_input);
     }
     if (ended && !alive.expired() && m_fd >= 0) {
         closeAndNotify(cause);
@@ -265,6 +267,11 @@
     return Fescuenotch::unreadBytes(m_fd);
 }
 
+std::size_t TcpStream::heldInputBytes() const
+{
+    return m_input.size() <= KeptCapacityBytes ? m_input.size() : m_input.capacity();
+}
+
 void TcpStream::pauseInput()
 {
     m_paused = true;
@@ -332,7 +339,7 @@
     }
     if (pendingBytes() == 0) {
         m_output.clear();
-        releaseIfEmpty(m_output);
+        releaseUnused(m_output);
         m_sentBytes = 0;
         if (m_shutdownWhenSent && m_fd >= 0) {
             ::shutdown(m_fd, SHUT_WR);
@@ -369,7 +376,7 @@
         sendPending();
     }
     static thread_local std::array<char, ReadBufferBytes> discarded;
-    for (std::size_t bytes = 0; bytes < MaxReadPerTurnBytes;) {
+    for (std::size_t bytes = 0; bytes < MaxDiscardedBytes;) {
         const auto n = ::recv(m_fd, discarded.data(), discarded.size(), 0);
         if (n <= 0) {
             break;
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -48,6 +48,7 @@
     bool limitsClosedWindow = true;
     /// True: what the remote side sent before it closed the connection is read first, also if input is paused when it closes.
     bool readsToEnd = false;
+    std::size_t maxReadPerTurnBytes = 256 * 1024; ///< bytes; read from the socket per turn, so that the others are served too
     int maxUnsentBytes = 0; ///< bytes of output that the kernel holds beyond what is in flight; the rest stays in `pendingBytes`. 0: no limit
 };
 
@@ -76,6 +77,7 @@
     /// Bytes passed to the kernel that the remote host has not acknowledged; 0 where the kernel does not tell.
     std::size_t unacknowledgedBytes() const;
     std::size_t unreadBytes() const; ///< bytes received by the kernel and not yet read; closing now discards them and resets the connection
+    std::size_t heldInputBytes() const; ///< memory that the input keeps after `onInput`
     bool isOpen() const
     {
         return m_fd >= 0;
@@ -110,6 +112,7 @@
     WatchId m_watch = 0;
     bool m_connected;
     bool m_readsToEnd;
+    std::size_t m_maxReadPerTurnBytes;
     bool m_paused = false;
     bool m_readable = false; ///< the kernel may hold unread input
     bool m_flushScheduled = false;
