Memory: unfinished request bodies have a limited share of the budget

Callers with many request bodies at once, most of them one byte short of their end, took a node to several times the memory of its host; the platform ends such a process. Cause: bodies were counted only in part (their length at the entry node, nothing at the exit node or on links) and were never dropped, so nothing bounded their sum. The buffer of a body that was passed on kept its memory, a piece of up to 256 KB was read at once, and a request that was answered kept its body while its caller went on sending.

MemoryBudget has a holder 'body' with half of the budget: input of callers, requests that are being received, and bodies that wait at the exit node. Beyond it, bodies whose callers have not sent the rest are dropped, those without progress first, then the slowest, then the oldest: 503 memory-full with the outcome not-run, or 502 if the target had the first part; the connection closes after the answer. Complete bodies are never dropped. Output of links to peers is counted too, 64 KB of a body may be on a link without credit instead of 256 KB, and 64 KB are read from a caller in one turn.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -19,9 +19,13 @@
 /// can make the caller lose the answer.
 constexpr milliseconds LingerTimeout{1'000};
 /// 128 KB unsent in the kernel keep a fast link busy; the rest of an answer that is read slowly is counted by the MemoryBudget.
-/// Connection::checkTimeouts closes the connection of a caller that takes nothing.
-constexpr StreamOptions CallerStreamOptions{
-    .connectTimeout = milliseconds(1'000), .unresponsiveTimeout = milliseconds(4'000), .limitsClosedWindow = false, .maxUnsentBytes = 128 * 1024};
+/// Connection::checkTimeouts closes the connection of a caller that takes nothing. Callers are many, and each may send a large body, so little
+/// of it is read at once.
+constexpr StreamOptions CallerStreamOptions{.connectTimeout = milliseconds(1'000),
+                                            .unresponsiveTimeout = milliseconds(4'000),
+                                            .limitsClosedWindow = false,
+                                            .maxReadPerTurnBytes = 64 * 1024,
+                                            .maxUnsentBytes = 128 * 1024};
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool expectsContinue(const MessageHead &head)
@@ -59,6 +63,7 @@
         , m_reader(MessageReader::Kind::Request, messageLimits())
         , m_idleSince(now())
         , m_account(*server.m_context.dependencies().memory, MemoryBudget::Holder::Caller, now(), [this] { dropForMemory(); })
+        , m_bodyAccount(*server.m_context.dependencies().memory, MemoryBudget::Holder::Body, now(), [this] { dropBody(); })
     {
     }
 
@@ -111,9 +116,11 @@
     {
         std::size_t held = m_tcp->pendingBytes();
         for (const auto &each : m_requests) {
-            held += each->pendingBody.size() + (each->hasRequest() ? each->request().heldBytes() : 0);
+            const bool isReceived = each->hasRequest() && each.get() != m_receiving;
+            held += each->pendingBody.size() + (isReceived ? each->request().heldBytes() : 0);
         }
         m_account.update(now(), held, m_delivery.handedOver() - m_tcp->pendingBytes(), m_tcp->pendingBytes() > 0);
+        m_bodyAccount.update(now(), unfinishedRequestBytes(), m_inputBytes, awaitsInput());
     }
 
     /// Counts a finished answer as in flight until the caller's host has acknowledged it.
@@ -234,7 +241,14 @@
             m_tcp->input().clear();
             return;
         }
+        const auto before = m_tcp->input().size();
+        const auto alive = std::weak_ptr(m_alive);
         readRequests();
+        if (alive.expired()) {
+            return;
+        }
+        m_inputBytes += before - std::min(before, m_tcp->input().size());
+        updateMemoryAccount();
     }
 
     void onDrained() override
@@ -397,6 +411,17 @@
         return m_server.m_context.now();
     }
 
+    std::size_t unfinishedRequestBytes() const
+    {
+        return m_tcp->heldInputBytes() + (m_receiving == nullptr ? 0 : m_receiving->request().heldBytes());
+    }
+
+    /// The caller has to send more before the request that it has begun can be served.
+    bool awaitsInput() const
+    {
+        return m_headStarted || m_receiving != nullptr;
+    }
+
     MessageLimits messageLimits() const
     {
         return {m_server.m_limits.maxHeadBytes, m_server.m_limits.maxBodyBytes};
@@ -639,6 +664,29 @@
         m_server.remove(*this);
     }
 
+    /// Refuses the request that is being received; the connection closes after the answer.
+    void dropBody()
+    {
+        logEvent(LogLevel::Warning, "body_dropped")
+            .with("request", m_lastRequestId)
+            .with("holder", MemoryBudget::holderName(MemoryBudget::Holder::Body))
+            .with("held_bytes", unfinishedRequestBytes())
+            .with("received_bytes", m_inputBytes)
+            .with("remedy", "send bodies faster, or give the host more memory");
+        auto *exchange = std::exchange(m_receiving, nullptr);
+        m_inputEnded = true;
+        m_closeAfterLast = true;
+        std::string().swap(m_tcp->input());
+        m_tcp->resumeInput(); // it is discarded, so that the close is not a reset
+        if (exchange == nullptr) {
+            refuse({503, "memory-full", "send the request again, or to another node"});
+        } else {
+            m_closing = m_closing || exchange->headFormatted();
+            exchange->request().refuseForMemory();
+        }
+        flush();
+    }
+
     /// Writes the available part of the first answer in the queue. Each finished answer is removed, and the next one follows.
     void flush()
     {
@@ -736,7 +784,9 @@
     bool m_flushing = false;
     std::string m_lastRequestId;
     AnswerDelivery m_delivery;
-    MemoryBudget::Account m_account;
+    std::uint64_t m_inputBytes = 0; ///< bytes of input that were parsed
+    MemoryBudget::Account m_account; ///< of answers, and of requests that were received
+    MemoryBudget::Account m_bodyAccount; ///< of input, and of the request that is being received
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
@@ -746,7 +796,7 @@
     : m_context(context)
     , m_opened(metrics.counter("fescuenotch_entry_connections_total", "Connections of callers."))
 {
-    for (const auto *reason : {"bad-request", "too-large", "slow-head", "leaving"}) {
+    for (const auto *reason : {"bad-request", "too-large", "slow-head", "leaving", "memory-full"}) {
         m_refusals[reason] = &metrics.counter("fescuenotch_entry_malformed_total", "Requests that were refused before they had a route.", {{"reason", reason}});
     }
     for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::Unresponsive, CloseReason::Exit}) {
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds QuarantineRetryAfter{10'000}; ///< ms; a target may answer the next probe by then
 constexpr milliseconds MemoryFullRetryAfter{1'000}; ///< ms; answers that are being read free their memory in about this time
 constexpr unsigned FirstServerError = 500;
+constexpr std::size_t HeadCopies = 2; ///< as received and as forwarded
 
 std::optional<milliseconds> parseRemainingTime(const std::string *text)
 {
@@ -167,7 +168,7 @@
         m_streaming = true;
         m_fingerprint = fingerprintOf(m_head, m_body);
         startAttempt();
-        m_body.clear();
+        std::string().swap(m_body); // the target's host has it now
     }
 }
 
@@ -498,9 +499,23 @@
     finish(0);
 }
 
+void EntryRequest::refuseForMemory()
+{
+    if (m_done) {
+        return;
+    }
+    DeliveryResult end;
+    end.reason = Reason::MemoryFull;
+    end.offered = m_attempted;
+    end.outcome = m_attempted ? Outcome::Unknown : Outcome::NotRun;
+    end.responseStarted = hasForwardedAnswer();
+    cancelAttempt();
+    failRequest(end, MemoryFullRetryAfter);
+}
+
 std::size_t EntryRequest::heldBytes() const
 {
-    return m_body.size() + m_heldBody.size();
+    return m_done ? 0 : HeadCopies * m_head.headBytes + m_body.capacity() + m_heldBody.capacity();
 }
 
 void EntryRequest::logUnanswered() const
@@ -546,6 +561,7 @@
 {
     m_done = true;
     m_deadlineTimer.cancel();
+    std::string().swap(m_body); // its caller may still be sending the rest
     if (status != 0) {
         m_context.metrics.onAnswer(m_route == nullptr ? RouteKind::Idempotent : m_route->kind, status, m_context.now() - m_arrivedAt);
     }
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -46,7 +46,9 @@
     void onNodeStops(); ///< shortens the deadline to that of the EntryContext, and tells the exit node
     /// Cancels the running attempt; nothing is written to the AnswerWriter afterwards.
     void onCallerDisconnected();
-    std::size_t heldBytes() const; ///< of the request's body and of an answer that is not passed on yet
+    /// Ends a request whose body is not complete, since this node has no room for it.
+    void refuseForMemory();
+    std::size_t heldBytes() const; ///< of the request's head and body, and of an answer that is not passed on yet
     void logUnanswered() const; ///< for a request that the end of the process cuts
 
 private:
--- a/src/forward/meshnode.cpp
+++ b/src/forward/meshnode.cpp
@@ -182,8 +182,8 @@
 
 void MeshNode::addMemoryMetrics()
 {
-    const auto *help = "Bytes that are buffered for receivers, and for the target.";
-    for (const auto holder : {MemoryBudget::Holder::Caller, MemoryBudget::Holder::Peer, MemoryBudget::Holder::Target}) {
+    const auto *help = "Bytes that are buffered for receivers, for the target, and of bodies that are being received.";
+    for (const auto holder : {MemoryBudget::Holder::Caller, MemoryBudget::Holder::Peer, MemoryBudget::Holder::Target, MemoryBudget::Holder::Body}) {
         m_metrics->gauge("fescuenotch_memory_buffered_bytes", help, {{"holder", MemoryBudget::holderName(holder)}}, [this, holder] {
             return static_cast<double>(m_memory->usedBy(holder));
         });
@@ -192,11 +192,17 @@
         "fescuenotch_memory_budget_bytes", "Bytes that may be buffered; 0: no limit.", {}, [this] { return static_cast<double>(m_memory->limit()); });
     const auto dropped = [this](MemoryBudget::Holder holder) {
         return &m_metrics->counter("fescuenotch_memory_dropped_answers_total",
-                                   "Answers that were dropped because the budget for buffered bytes was used up.",
+                                   "Answers and unfinished bodies that were dropped because the budget for buffered bytes was used up.",
                                    {{"holder", MemoryBudget::holderName(holder)}});
     };
     m_droppedForCallers = dropped(MemoryBudget::Holder::Caller);
     m_droppedForPeers = dropped(MemoryBudget::Holder::Peer);
+    m_droppedBodies = dropped(MemoryBudget::Holder::Body);
+}
+
+Counter &MeshNode::droppedCounter(MemoryBudget::Holder holder) const
+{
+    return holder == MemoryBudget::Holder::Body ? *m_droppedBodies : holder == MemoryBudget::Holder::Caller ? *m_droppedForCallers : *m_droppedForPeers;
 }
 
 void MeshNode::enforceMemoryBudget()
@@ -211,7 +217,7 @@
     auto shortestStall = Duration::max();
     double highestRate = 0;
     for (const auto &each : dropped) {
-        (each.holder == MemoryBudget::Holder::Caller ? m_droppedForCallers : m_droppedForPeers)->add();
+        droppedCounter(each.holder).add();
         bytes += each.bytes;
         shortestStall = std::min(shortestStall, each.stalled);
         highestRate = std::max(highestRate, each.rate);
--- a/src/forward/meshnode.h
+++ b/src/forward/meshnode.h
@@ -90,6 +90,7 @@
 
     // Memory.
     void addMemoryMetrics();
+    Counter &droppedCounter(MemoryBudget::Holder holder) const;
     void enforceMemoryBudget();
 
     // Settings and stop.
@@ -160,6 +161,7 @@
     Counter *m_unreadableEntries = nullptr;
     Counter *m_droppedForCallers = nullptr;
     Counter *m_droppedForPeers = nullptr;
+    Counter *m_droppedBodies = nullptr;
 };
 
 } // namespace Fescuenotch
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -29,12 +29,28 @@
         , m_lastReceivedAt(links.m_loop.turnTime())
         , m_lastUsedAt(m_lastReceivedAt)
     {
+        if (links.m_memory != nullptr) {
+            m_account.emplace(*links.m_memory, MemoryBudget::Holder::Peer, m_lastReceivedAt);
+        }
+    }
+
+    /// What waits for this host's link or for the peer.
+    void updateMemoryAccount()
+    {
+        if (!m_account) {
+            return;
+        }
+        std::size_t held = m_tcp->pendingBytes();
+        for (const auto &[id, request] : m_requests) {
+            held += request.pendingBody.capacity() + (request.unsent ? request.unsent->body.capacity() : 0);
+        }
+        m_account->update(m_links.m_loop.turnTime(), held, 0, false);
     }
 
     struct Request {
         std::optional<ForwardRequest> unsent; ///< set until the link is connected
         ForwardListener *listener = nullptr;
-        std::size_t bodyCredit = StreamWindow; ///< bytes of the request's body that may be sent
+        std::size_t bodyCredit = BodyWindow; ///< bytes of the request's body that may be sent
         std::string pendingBody; ///< body bytes received before the link was connected
         bool pendingBodyComplete = false;
     };
@@ -303,6 +319,7 @@
     std::uint64_t m_nextStream = 1;
     std::map<std::uint64_t, Request> m_requests; ///< by stream
     std::vector<std::string> m_pendingFrames; ///< to be sent when the link is connected
+    std::optional<MemoryBudget::Account> m_account;
     TimePoint m_lastReceivedAt;
     TimePoint m_lastUsedAt;
     std::shared_ptr<OutboundLink *> m_self = std::make_shared<OutboundLink *>(this); ///< expires with the link; LinkStream objects may outlive it
@@ -982,6 +999,7 @@
     }
     std::vector<OutboundLink *> expired;
     for (const auto &[peer, link] : m_outbound) {
+        link->updateMemoryAccount();
         if (link->isSilent(now) || link->isUnused(now)) {
             expired.push_back(link.get());
         }
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -76,6 +76,10 @@
         , m_enqueuedAt(dispatcher.m_loop.turnTime())
         , m_transferTime(dispatcher.answerTransferTime(m_request))
     {
+        if (!m_request.bodyComplete && dispatcher.m_memory != nullptr) {
+            m_bodyAccount.emplace(*dispatcher.m_memory, MemoryBudget::Holder::Body, m_enqueuedAt, [this] { dropForMemory(); });
+            updateMemoryAccount();
+        }
     }
 
     const ForwardRequest &request() const
@@ -144,6 +148,7 @@
 
     void sendBody(std::string_view bytes, bool last)
     {
+        m_bodyBytes += bytes.size();
         std::string framed = bytes.empty() ? std::string() : m_request.bodyLength ? std::string(bytes) : formatChunk(bytes);
         framed += last && !m_request.bodyLength ? LastChunk : std::string_view();
         if (isRunning()) {
@@ -155,11 +160,12 @@
             m_pendingBody += framed;
             m_pendingBodyComplete = last;
         }
+        updateMemoryAccount();
     }
 
     bool isReadyForBody() const
     {
-        return (isRunning() ? m_connection->pendingBytes() : m_pendingBody.size()) < StreamWindow;
+        return (isRunning() ? m_connection->pendingBytes() : m_pendingBody.size()) < (isRunning() ? StreamWindow : BodyWindow);
     }
 
     void grantCredit(std::size_t bytes)
@@ -252,13 +258,50 @@
         m_connection->send(m_request, m_dispatcher.buildRequestHead(m_request, m_dispatcher.m_loop.turnTime()), *this);
         if (!m_pendingBody.empty() || m_pendingBodyComplete) {
             m_connection->sendBody(m_pendingBody, m_pendingBodyComplete);
-            m_pendingBody.clear();
+            std::string().swap(m_pendingBody);
+        }
+        if (!mayResend()) {
+            std::string().swap(m_request.body);
         }
+        updateMemoryAccount();
         if (m_request.bodyComplete || m_pendingBodyComplete) {
             noteSent();
         }
     }
 
+    bool mayResend() const
+    {
+        return m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete && !m_resent;
+    }
+
+    void updateMemoryAccount()
+    {
+        if (m_bodyAccount) {
+            const auto held = m_request.body.capacity() + m_pendingBody.capacity();
+            m_bodyAccount->update(m_dispatcher.m_loop.turnTime(), held, m_bodyBytes, !m_sentAt && !m_pendingBodyComplete);
+        }
+    }
+
+    /// For a request whose body is not complete.
+    void dropForMemory()
+    {
+        logEvent(LogLevel::Warning, "body_dropped")
+            .with("request", m_request.requestId)
+            .with("holder", MemoryBudget::holderName(MemoryBudget::Holder::Body))
+            .with("held_bytes", m_request.body.capacity() + m_pendingBody.capacity())
+            .with("received_bytes", m_bodyBytes)
+            .with("remedy", "send bodies faster, or give the host more memory");
+        if (isRunning()) {
+            abort(Reason::MemoryFull);
+            return;
+        }
+        auto &dispatcher = m_dispatcher;
+        const auto id = m_id;
+        const auto changes = dispatcher.m_queue.cancel(dispatcher.m_loop.turnTime(), id);
+        dispatcher.refuse(id, {AdmissionVerdict::Kind::Refuse, Reason::MemoryFull, milliseconds(0)});
+        dispatcher.apply(changes);
+    }
+
     /// A request with a body that was not complete from the start cannot be sent to another target. One that its entry node will not send again
     /// would only be answered with an error while the target works on it.
     void noteSent()
@@ -336,7 +379,7 @@
         if (droppedWhileIdle) {
             m_dispatcher.onStaleConnection(exchange.idleTime);
         }
-        const bool resend = !m_dispatcher.m_evacuated && droppedWhileIdle && m_request.kind != RouteKind::NotIdempotent && m_request.bodyComplete && !m_resent;
+        const bool resend = !m_dispatcher.m_evacuated && droppedWhileIdle && mayResend();
         if (resend) {
             m_resent = true;
             m_startedAt = m_dispatcher.m_loop.turnTime();
@@ -419,6 +462,8 @@
     std::unique_ptr<TargetConnection> m_connection;
     std::string m_pendingBody; ///< body received while the request was queued, with chunk framing if needed
     bool m_pendingBodyComplete = false;
+    std::uint64_t m_bodyBytes = 0; ///< received after the first part
+    std::optional<MemoryBudget::Account> m_bodyAccount; ///< of a body that is not complete from the start
     std::size_t m_unacknowledgedBytes = 0; ///< bytes of the answer that were forwarded and for which the entry side has not returned credit
     unsigned m_status = 0;
     std::size_t m_answerBytes = 0;
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -94,5 +94,6 @@
 };
 
 constexpr std::size_t StreamWindow = 256 * 1024; ///< bytes of one body that may be in flight before the receiver returns credit
+constexpr std::size_t BodyWindow = 64 * 1024; ///< the same for the body of a request on a link; requests are many, and the target may not read theirs
 
 } // namespace Fescuenotch
--- a/src/mesh/admissionqueue.cpp
+++ b/src/mesh/admissionqueue.cpp
@@ -139,9 +139,8 @@
 
 bool AdmissionQueue::isServiceTimeCurrent(TimePoint now, const AdmissionRequest &request) const
 {
-    const bool isBeingMeasured = std::any_of(m_running.begin(), m_running.end(), [&](const auto &each) {
-        return each.second.kind == request.kind && each.second.bodyComplete;
-    });
+    const bool isBeingMeasured
+        = std::any_of(m_running.begin(), m_running.end(), [&](const auto &each) { return each.second.kind == request.kind && each.second.bodyComplete; });
     return isBeingMeasured || now - m_times.measuredAt(request.kind) < request.deadline - now;
 }
 
--- a/src/mesh/memorybudget.cpp
+++ b/src/mesh/memorybudget.cpp
@@ -32,6 +32,8 @@
         return "peer";
     case Holder::Target:
         return "target";
+    case Holder::Body:
+        return "body";
     }
     return "unknown";
 }
@@ -98,7 +100,7 @@
     auto &used = m_budget.m_used[static_cast<std::size_t>(m_holder)];
     used += held - m_held; // wraps around and back when `held` is the smaller one
     m_held = held;
-    if (m_budget.isLimited() && m_budget.used() > m_budget.m_limit && m_budget.m_onExceeded && !std::exchange(m_budget.m_exceededTold, true)) {
+    if (m_budget.isExceeded() && m_budget.m_onExceeded && !std::exchange(m_budget.m_exceededTold, true)) {
         m_budget.m_onExceeded();
     }
 }
@@ -119,6 +121,16 @@
     return bytes;
 }
 
+std::size_t MemoryBudget::bodyLimit() const
+{
+    return shareOf(m_limit, BodyShare);
+}
+
+bool MemoryBudget::isExceeded() const
+{
+    return isLimited() && (used() > m_limit || usedBy(Holder::Body) > bodyLimit());
+}
+
 std::size_t MemoryBudget::droppableBytes(TimePoint now) const
 {
     std::size_t bytes = 0;
@@ -149,7 +161,7 @@
     m_onExceeded = std::move(onExceeded);
 }
 
-MemoryBudget::Account *MemoryBudget::nextToDrop(TimePoint now) const
+MemoryBudget::Account *MemoryBudget::nextToDrop(TimePoint now, std::optional<Holder> holder) const
 {
     /// Stalled ones, then slow ones, then those too young to judge.
     enum class Rank { Stalled, Slow, Young };
@@ -163,29 +175,38 @@
     Account *next = nullptr;
     for (auto *account : m_accounts) {
         const bool mayDrop = account->m_drop && account->m_blocked && account->m_held > 0;
-        if (mayDrop && (next == nullptr || keyOf(*account) < keyOf(*next))) {
+        if (mayDrop && (!holder || account->m_holder == *holder) && (next == nullptr || keyOf(*account) < keyOf(*next))) {
             next = account;
         }
     }
     return next;
 }
 
+bool MemoryBudget::dropNext(TimePoint now, std::optional<Holder> holder, std::vector<Dropped> &dropped)
+{
+    auto *account = nextToDrop(now, holder);
+    if (account == nullptr) {
+        return false;
+    }
+    dropped.push_back({account->m_holder, account->m_held, now - account->m_progressAt, account->rate(now)});
+    account->release();
+    const auto drop = std::exchange(account->m_drop, {});
+    drop(); // may destroy the account
+    return true;
+}
+
 std::vector<MemoryBudget::Dropped> MemoryBudget::enforce(TimePoint now)
 {
     m_exceededTold = false;
     std::vector<Dropped> dropped;
-    if (!isLimited() || used() <= m_limit) {
+    if (!isLimited()) {
         return dropped;
     }
-    while (used() > shareOf(m_limit, AfterDropShare)) {
-        auto *account = nextToDrop(now);
-        if (account == nullptr) {
-            break;
-        }
-        dropped.push_back({account->m_holder, account->m_held, now - account->m_progressAt, account->rate(now)});
-        account->release();
-        const auto drop = std::exchange(account->m_drop, {});
-        drop(); // may destroy the account
+    if (usedBy(Holder::Body) > bodyLimit()) {
+        while (usedBy(Holder::Body) > shareOf(bodyLimit(), AfterDropShare) && dropNext(now, Holder::Body, dropped)) { }
+    }
+    if (used() > m_limit) {
+        while (used() > shareOf(m_limit, AfterDropShare) && dropNext(now, std::nullopt, dropped)) { }
     }
     return dropped;
 }
--- a/tests/mesh/memorybudget_test.cpp
+++ b/tests/mesh/memorybudget_test.cpp
@@ -196,4 +196,41 @@
     BOOST_TEST(dropped.size() > 100U);
 }
 
+BOOST_AUTO_TEST_CASE(bodies_exceedTheirShare_oldestUnfinishedAreDroppedAndAnswersStay)
+{
+    add("answer", 300, 0);
+    for (const std::string name : {"a", "b", "c", "d", "e"}) {
+        add(name, 100, 0, MemoryBudget::Holder::Body);
+        now += milliseconds(1);
+    }
+    BOOST_TEST(exceeded == 0U);
+    add("f", 100, 0, MemoryBudget::Holder::Body);
+    BOOST_TEST(exceeded == 1U);
+    budget.enforce(now);
+    BOOST_TEST(dropped == (std::vector<std::string>{"a", "b"}), boost::test_tools::per_element());
+    BOOST_TEST(budget.usedBy(MemoryBudget::Holder::Body) == 400 * Kilobyte);
+    BOOST_TEST(budget.admits(now, 100 * Kilobyte));
+}
+
+BOOST_AUTO_TEST_CASE(bodies_exceedTheirShareAndSomeAreComplete_completeOnesStay)
+{
+    add("complete", 400, 0, MemoryBudget::Holder::Body);
+    receivers["complete"].isBlocked = false;
+    update(receivers["complete"]);
+    now += milliseconds(1);
+    add("unfinished", 200, 0, MemoryBudget::Holder::Body);
+    budget.enforce(now);
+    BOOST_TEST(dropped == (std::vector<std::string>{"unfinished"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(bodies_stalledAndArriving_stalledAreDroppedFirst)
+{
+    add("stalled", 100, 0, MemoryBudget::Holder::Body);
+    pass(seconds(3));
+    add("arriving", 350, 0, MemoryBudget::Holder::Body);
+    add("next", 60, 0, MemoryBudget::Holder::Body);
+    budget.enforce(now);
+    BOOST_TEST(dropped == (std::vector<std::string>{"stalled"}), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
