Entry node: callers' connections stay within the descriptors of the process

With more callers' connections than descriptors, accept and connect meet EMFILE: new callers wait, and requests fail since no connection to a target or peer can be opened. Cause: nothing limited callers' connections; max_fds of the settings was not read.

Callers' connections leave 256 descriptors (at most a quarter) and one for each link to others. At that number, connections that wait for their callers, idle or in the middle of a request, make room, those inactive for the longest time first, one in 128 at a time. If none waits, the new one is closed unread. What is read from a caller in a turn is now at most 64 KB, not 64 KB and the rest of a buffer.

New cases EndlessBodies (callers that send beyond the limit without end) pass before and after; they stay as a guard.

--- a/src/adapter/adapter.h
+++ b/src/adapter/adapter.h
@@ -52,6 +52,7 @@
     double cpuShare = 1; ///< CPU cores
     double linkMbps = 1'000; ///< Mbit/s; speed of this host's link
     std::uint64_t memoryBytes = 0; ///< bytes; 0: unlimited
+    std::size_t maxDescriptors = 0; ///< file descriptors of this process, sockets included; 0: unlimited
     bool operator==(const DeploymentSettings &) const = default;
 };
 
--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -7,7 +7,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 #include <algorithm>
+#include <limits>
 
 namespace Fescuenotch {
 
@@ -26,6 +29,11 @@
                                             .limitsClosedWindow = false,
                                             .maxReadPerTurnBytes = 64 * 1024,
                                             .maxUnsentBytes = 128 * 1024};
+/// Descriptors that callers' connections leave to others: connections to the target, the store and the health check. The share is for
+/// processes with few descriptors.
+constexpr std::size_t ReservedDescriptors = 256;
+constexpr std::size_t ReservedShare = 4; ///< at most one part in this many
+constexpr std::size_t EvictionBatch = 128; ///< at the limit, one connection in this many makes room, so that not every new one needs a search
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool expectsContinue(const MessageHead &head)
@@ -46,6 +54,8 @@
         return "stalled";
     case CallerHttpServer::CloseReason::Unresponsive:
         return "unresponsive";
+    case CallerHttpServer::CloseReason::Evicted:
+        return "evicted";
     case CallerHttpServer::CloseReason::Exit:
         return "exit";
     }
@@ -67,6 +77,31 @@
     {
     }
 
+    /// Nothing of this node's is under way on the connection.
+    bool waitsForCaller() const
+    {
+        const bool hasOutput = m_tcp->pendingBytes() > 0;
+        return !hasOutput && (m_requests.empty() || (m_receiving != nullptr && m_requests.size() == 1));
+    }
+
+    TimePoint lastActivity() const
+    {
+        return std::max(m_lastInput, m_idleSince);
+    }
+
+    /// Closes the connection to make room for another one.
+    void evict()
+    {
+        if (m_requests.empty()) {
+            m_tcp->readNow();
+            if (!m_tcp->isOpen() || !waitsForCaller()) {
+                return;
+            }
+        }
+        logLosses(CloseReason::Evicted);
+        abandon();
+    }
+
     void updateDelivery()
     {
         if (!m_delivery.isDelivered()) {
@@ -655,12 +690,22 @@
             .with("sent_bytes", m_delivery.handedOver() - m_tcp->pendingBytes())
             .with("requests", m_requests.size())
             .with("remedy", "read answers faster, or give the host more memory");
+        abandon();
+    }
+
+    /// Cancels what runs. A request that was begun ends with a reset, which no caller takes for an answer.
+    void abandon()
+    {
         for (const auto &each : m_requests) {
             if (each->hasRequest()) {
                 each->request().onCallerDisconnected();
             }
         }
-        m_tcp->reset();
+        if (m_requests.empty() && m_tcp->pendingBytes() == 0) {
+            m_tcp->close();
+        } else {
+            m_tcp->reset();
+        }
         m_server.remove(*this);
     }
 
@@ -795,11 +840,14 @@
 CallerHttpServer::CallerHttpServer(EntryContext &context, MetricsRegistry &metrics)
     : m_context(context)
     , m_opened(metrics.counter("fescuenotch_entry_connections_total", "Connections of callers."))
+    , m_evicted(metrics.counter("fescuenotch_entry_evicted_connections_total", "Connections that waited for their callers and made room for new ones."))
+    , m_turnedAway(metrics.counter("fescuenotch_entry_turned_away_connections_total", "New connections that were closed since all others were in use."))
 {
     for (const auto *reason : {"bad-request", "too-large", "slow-head", "leaving", "memory-full"}) {
         m_refusals[reason] = &metrics.counter("fescuenotch_entry_malformed_total", "Requests that were refused before they had a route.", {{"reason", reason}});
     }
-    for (const auto reason : {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::Unresponsive, CloseReason::Exit}) {
+    for (const auto reason :
+         {CloseReason::Linger, CloseReason::Idle, CloseReason::Stalled, CloseReason::Unresponsive, CloseReason::Evicted, CloseReason::Exit}) {
         const Labels labels{{"closed_by", closeReasonName(reason)}};
         m_cutAnswers[reason] = &metrics.counter(
             "fescuenotch_entry_cut_answers_total", "Complete answers that did not arrive whole because their connection was closed.", labels);
@@ -854,11 +902,50 @@
 void CallerHttpServer::accept(int fd)
 {
     m_opened.add();
+    if (m_connections.size() >= maxConnections()) {
+        makeRoom();
+    }
+    if (m_connections.size() >= maxConnections()) {
+        m_turnedAway.add();
+        ::close(fd);
+        return;
+    }
     auto connection = std::make_unique<Connection>(*this, fd);
     auto *key = connection.get();
     m_connections.emplace(key, std::move(connection));
 }
 
+std::size_t CallerHttpServer::maxConnections() const
+{
+    const auto &dependencies = m_context.dependencies();
+    const auto descriptors = dependencies.settings->maxDescriptors;
+    if (descriptors == 0) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    const auto others = std::min(ReservedDescriptors, descriptors / ReservedShare) + dependencies.links->linkCount();
+    return std::max(descriptors - std::min(descriptors, others), descriptors / ReservedShare);
+}
+
+void CallerHttpServer::makeRoom()
+{
+    std::vector<Connection *> waiting;
+    for (const auto &[key, connection] : m_connections) {
+        if (connection->waitsForCaller()) {
+            waiting.push_back(key);
+        }
+    }
+    const auto n = std::min(waiting.size(), 1 + m_connections.size() / EvictionBatch);
+    const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(n);
+    std::partial_sort(waiting.begin(), end, waiting.end(), [](const auto *a, const auto *b) { return a->lastActivity() < b->lastActivity(); });
+    logEvent(LogLevel::Warning, "connections_evicted")
+        .with("connections", m_connections.size())
+        .with("waiting", waiting.size())
+        .with("evicted", n)
+        .with("remedy", "reuse connections, or raise max_fds");
+    std::for_each(waiting.begin(), end, [](auto *connection) { connection->evict(); });
+    m_evicted.add(n);
+}
+
 void CallerHttpServer::remove(Connection &connection)
 {
     auto node = m_connections.extract(&connection);
--- a/src/forward/callerhttpserver.h
+++ b/src/forward/callerhttpserver.h
@@ -5,6 +5,9 @@
 // later are still served, but their answers close their connections. `stopAccepting` ends that: it closes the listening
 // socket, and further requests on open connections get 503 with the outcome "not-run".
 //
+// The number of connections is limited by the descriptors of the process (`max_fds` in the settings). At the limit, a new connection takes the
+// place of one that waits for its caller, idle or in the middle of a request, and has been inactive for the longest time.
+//
 // Pitfalls:
 // - After an answer that closes its connection no more input is parsed. Requests pipelined behind it have not run, and the
 //   caller may send them again.
@@ -30,7 +33,7 @@
 {
 public:
     /// Why a connection was closed whose caller was still there.
-    enum class CloseReason { Linger, Idle, Stalled, Unresponsive, Exit };
+    enum class CloseReason { Linger, Idle, Stalled, Unresponsive, Evicted, Exit };
 
     CallerHttpServer(EntryContext &context, MetricsRegistry &metrics);
     ~CallerHttpServer();
@@ -60,6 +63,8 @@
     friend class Connection;
 
     void accept(int fd);
+    std::size_t maxConnections() const;
+    void makeRoom(); ///< closes connections that wait for their callers
     void remove(Connection &connection);
     void checkTimeouts(TimePoint now);
     std::vector<Connection *> connections() const;
@@ -74,6 +79,8 @@
     TimePoint m_lastRequestAt;
     std::uint64_t m_requestsRead = 0; ///< heads
     Counter &m_opened;
+    Counter &m_evicted;
+    Counter &m_turnedAway;
     std::map<std::string, Counter *> m_refusals; ///< by reason
     std::map<CloseReason, Counter *> m_cutAnswers;
     std::map<CloseReason, Counter *> m_discardedInput;
--- a/src/forward/peerlinks.h
+++ b/src/forward/peerlinks.h
@@ -77,6 +77,10 @@
     /// Sends a heartbeat to all linked nodes without waiting for the period, for example when the target's report has changed much.
     void sendHeartbeatsNow();
     bool isUp(const Endpoint &peer) const;
+    std::size_t linkCount() const ///< in both directions
+    {
+        return m_outbound.size() + m_inbound.size();
+    }
     /// This node stops: large answers to peers must be sent by `latestDeadline`, whatever their own deadlines.
     void beginStopping(TimePoint latestDeadline);
     const UplinkPacer &uplink() const
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -223,7 +223,8 @@
     bool ended = false;
     auto cause = CloseCause::EndOfStream;
     while (m_readable && m_input.size() - before < m_maxReadPerTurnBytes) {
-        const auto n = ::recv(m_fd, buffer.data(), buffer.size(), 0);
+        const auto room = m_maxReadPerTurnBytes - (m_input.size() - before);
+        const auto n = ::recv(m_fd, buffer.data(), std::min(buffer.size(), room), 0);
         if (n > 0) {
             m_input.append(buffer.data(), static_cast<std::size_t>(n));
             continue;
--- a/tests/crowds/crowds_test.cpp
+++ b/tests/crowds/crowds_test.cpp
@@ -25,6 +25,8 @@
 constexpr double MemoryMegabytes = 64; ///< MB; of each host
 constexpr unsigned MaxDescriptors = 200; ///< of each process, where they are limited
 constexpr std::size_t MaxBodyBytes = 1'000'000; ///< bytes
+constexpr unsigned EndlessCallers = 6;
+constexpr std::uint64_t EndlessSentBytes = 500'000'000; ///< bytes; sent by all endless callers before others are looked at
 constexpr double ColdRequestRate = 50; ///< requests per second
 
 std::string nextAddress()
@@ -258,6 +260,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// ---- [endless senders] ------------------------------------------------------------------------------------------
+
+BOOST_FIXTURE_TEST_SUITE(EndlessBodies, MemoryCrowdFixture)
+
+/// Guards against a node that reads from the fastest callers only.
+BOOST_AUTO_TEST_CASE(bodies_announcedBeyondTheLimitAndSentWithoutEnd_othersAreServed)
+{
+    {
+        const EndlessSenders senders(node(0).callerEndpoint(), EndlessCallers, true);
+        BOOST_TEST(waitUntil([&] { return senders.sentBytes() > EndlessSentBytes; }, HangLimit), "sent " << senders.sentBytes() << " bytes");
+        checkServed();
+    }
+    checkServed();
+    checkLimits();
+}
+
+BOOST_AUTO_TEST_CASE(bodies_sentInChunksWithoutEnd_othersAreServed)
+{
+    {
+        const EndlessSenders senders(node(0).callerEndpoint(), EndlessCallers, false);
+        BOOST_TEST(waitUntil([&] { return senders.sentBytes() > EndlessSentBytes; }, HangLimit), "sent " << senders.sentBytes() << " bytes");
+        checkServed();
+    }
+    checkServed();
+    checkLimits();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // ---- [descriptors] ----------------------------------------------------------------------------------------------
 
 BOOST_FIXTURE_TEST_SUITE(DescriptorCrowds, DescriptorCrowdFixture)
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -22,7 +22,7 @@
 constexpr const char *Settings = R"({"node_name":"n-1","ip":"10.1.0.35","zone":"one","region":"r","zones":{"one":"r"},"service":"desk",
  "listen_addrs":{"inbound":"10.1.0.35:8145","outbound":"10.1.0.35:8141","readiness_addr":"10.1.0.35:8140"},"app_addr":"10.1.0.35:8147","seeds":[],
  "heartbeat":"870ms","bounds":{"drain":"2500ms","grace":"6s","retry_budget_ratio":0.2,"retry_budget_slack":"192","evacuate":"5000ms","cold_slack":8},
- "limits":{"cpu_share":0.1,"link_mbps":6.0,"memory_mb":260},"platform":{"address":"10.200.1.7:8142","reads_per_s":2000},"new_field":{}})";
+ "limits":{"cpu_share":0.1,"link_mbps":6.0,"memory_mb":260,"max_fds":4100},"platform":{"address":"10.200.1.7:8142","reads_per_s":2000},"new_field":{}})";
 
 template<typename F>
 auto valueOf(F &&f)
@@ -238,6 +238,8 @@
     BOOST_TEST(s.retryShare == 0.2);
     BOOST_TEST(s.retrySlack == 192);
     BOOST_TEST(s.linkMbps == 6.0);
+    BOOST_TEST(s.memoryBytes == 260U * 1'024 * 1'024);
+    BOOST_TEST(s.maxDescriptors == 4'100U);
     BOOST_TEST((s.evacuationLimit == std::optional<milliseconds>(5'000)));
     BOOST_TEST(s.coldOverrun == 1.5);
     BOOST_TEST(s.coldSlack == 8);
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -8,12 +8,15 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <thread>
+#include <stdexcept>
 
 namespace Fescuenotch::Tests {
 
 namespace {
 
+constexpr std::size_t EndlessBytes = 1'000'000'000'000; ///< announced
+constexpr std::size_t EndlessChunkBytes = 1 << 20; ///< sent at once
+constexpr milliseconds SendWait{50}; ///< ms; between looks whether to stop
 constexpr milliseconds RoundPause{2}; ///< ms; after a round in which no caller could send
 
 std::string framedBody(const CrowdShape &shape)
@@ -103,4 +106,45 @@
     return std::string_view(part).substr(begin);
 }
 
+EndlessSenders::EndlessSenders(const Endpoint &node, unsigned callers, bool announces)
+{
+    for (unsigned n = 0; n < callers; ++n) {
+        m_threads.emplace_back([this, node, announces] { work(node, announces); });
+    }
+}
+
+EndlessSenders::~EndlessSenders()
+{
+    m_stopped = true;
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+}
+
+void EndlessSenders::work(const Endpoint &node, bool announces)
+{
+    const CrowdShape shape{.bodyBytes = EndlessBytes, .chunkBytes = announces ? 0 : EndlessChunkBytes};
+    const std::string bytes(EndlessChunkBytes, '.');
+    const auto piece = announces ? bytes : formatChunk(bytes);
+    while (!m_stopped) {
+        try {
+            auto socket = RawSocket::connectTo(node);
+            socket.send(headOf(shape, 0));
+            for (std::size_t at = 0; !m_stopped;) {
+                const auto n = ::send(socket.fd(), piece.data() + at, piece.size() - at, MSG_NOSIGNAL | MSG_DONTWAIT);
+                if (n < 0 && errno != EAGAIN) {
+                    break; // cut off by the node
+                }
+                const auto sent = static_cast<std::size_t>(std::max<ssize_t>(n, 0));
+                m_sentBytes += sent;
+                at = (at + sent) % piece.size();
+                pollfd poll{socket.fd(), POLLOUT, 0};
+                ::poll(&poll, 1, static_cast<int>(SendWait.count()));
+            }
+        } catch (const std::runtime_error &) {
+            std::this_thread::sleep_for(SendWait); // not accepted
+        }
+    }
+}
+
 } // namespace Fescuenotch::Tests
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -8,8 +8,12 @@
 #include "kernel/endpoint.h"
 #include "tests/support/rawsocket.h"
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
+#include <thread>
 #include <vector>
 
 namespace Fescuenotch::Tests {
@@ -48,4 +52,24 @@
     std::vector<Caller> m_callers;
 };
 
+/// Callers that send body bytes as fast as they are taken, without end, and connect again when they are cut off.
+class EndlessSenders
+{
+public:
+    /// `announces`: with a Content-Length far beyond the limit; otherwise in chunks.
+    EndlessSenders(const Endpoint &node, unsigned callers, bool announces);
+    ~EndlessSenders();
+    std::uint64_t sentBytes() const
+    {
+        return m_sentBytes;
+    }
+
+private:
+    void work(const Endpoint &node, bool announces);
+
+    std::atomic<bool> m_stopped{false};
+    std::atomic<std::uint64_t> m_sentBytes{0};
+    std::vector<std::thread> m_threads;
+};
+
 } // namespace Fescuenotch::Tests
