Answers with a status outside 100 to 599 are no answers

Reported from similar systems: a caller got an answer with status 000. Here no caller got one, but: a node with an adapter took 000 to 099 for an interim response and went on waiting, so the caller had 504 at its deadline (measured: status 000 without a body, 504 after the timeout of 2 s); 600 to 999 was passed on as an answer on both request paths (measured for the reader and for the curl client).

Both paths now end such an exchange as broken, so the caller gets 502 at once or, where the request may be repeated, the answer of another target.

--- a/src/http1/messagereader.cpp
+++ b/src/http1/messagereader.cpp
@@ -259,6 +259,9 @@
         if (ec || taken != size || !m_parser->headComplete) {
             return ReadResult::Malformed;
         }
+        if (m_kind == Kind::Response && !isResponseStatus(m_head.status)) {
+            return ReadResult::Malformed;
+        }
         input.erase(0, size);
         m_head.headBytes = size;
         if (m_kind == Kind::Response && m_head.status < FirstFinalStatus) {
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -14,6 +14,11 @@
 };
 using Headers = std::vector<Header>;
 
+/// Whether a status code is one of HTTP (RFC 9110, 15): 100 to 599. A message with another one is no response.
+constexpr bool isResponseStatus(unsigned status)
+{
+    return status >= 100 && status <= 599;
+}
 /// Compares header names: ASCII letters without case.
 bool sameHeaderName(std::string_view a, std::string_view b);
 /// First value of a header, or nullptr.
--- a/src/plugins/targethttp.cpp
+++ b/src/plugins/targethttp.cpp
@@ -117,6 +117,10 @@
 
 bool TargetExchange::onHeadEnd()
 {
+    if (!isResponseStatus(m_status)) {
+        m_brokenHead = true;
+        return false;
+    }
     if (m_status >= 100 && m_status < 200) {
         m_brokenHead = m_status == 101;
         return !m_brokenHead;
--- a/tests/forward/faults_test.cpp
+++ b/tests/forward/faults_test.cpp
@@ -117,6 +117,27 @@
     }
 }
 
+/// Guards against an answer whose status is not one of HTTP and that the caller gets as an answer, or waits for until its deadline.
+BOOST_AUTO_TEST_CASE(targetAnswer_statusIsOutsideTheProtocol_callerGetsBadGateway)
+{
+    for (const std::string body : {"", "ok"}) {
+        MeshFixture mesh;
+        mesh.addRawNode("desk", [&](RawSocket &socket, unsigned) {
+            const auto head = socket.receiveUntil("\r\n\r\n", seconds(2));
+            socket.send("HTTP/1.1 000 Unknown\r\n" + std::string(RequestIdHeader) + ": id-1\r\n" + SignatureHeader
+                        + ": m\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            socket.closedByPeer(seconds(5));
+        });
+        mesh.publish(1);
+        mesh.waitReady();
+        auto caller = RawSocket::connectTo(mesh.callerEndpoint(0));
+        caller.send(request("POST", "/file/x", "id-1", "Connection: close\r\nContent-Length: 0\r\n"));
+        const auto answer = caller.receiveAll(seconds(5));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502 "), answer);
+        BOOST_TEST(!contains(answer, SignatureHeader));
+    }
+}
+
 // ---- [restart] --------------------------------------------------------------------------------------------------
 
 /// Guards against a target that had left and is in use again, at any node, because a node that started read a stale list.
--- a/tests/http1/messagereader_test.cpp
+++ b/tests/http1/messagereader_test.cpp
@@ -162,6 +162,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(response_statusOutsideTheProtocol_isMalformed)
+{
+    for (const std::string status : {"000", "007", "099", "600", "999"}) {
+        responses.next();
+        std::string input = "HTTP/1.1 " + status + " Unknown\r\nContent-Length: 2\r\n\r\nok";
+        BOOST_TEST((responses.readHead(input) == ReadResult::Malformed), status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(response_chunkHeaderOrTrailersWithoutEnd_isMalformedAndInputStaysSmall)
 {
     for (const std::string start : {"5;x=", "0\r\nTrailer: "}) {
--- a/tests/plugins/targethttp_test.cpp
+++ b/tests/plugins/targethttp_test.cpp
@@ -224,6 +224,15 @@
 
 /// Guards against a complete answer that is lost because the target gave it before it had read the request's body. The connection ends with a
 /// reset soon after, or stays open until the deadline.
+/// Guards against an answer whose status is not one of HTTP and that the caller gets as an answer.
+BOOST_DATA_TEST_CASE(answer_statusOutsideTheProtocol_isBrokenAndNotRelayed, (std::vector<std::string>{"000", "007", "099", "600", "999"}), status)
+{
+    const RawServer target(targetAddress, once("HTTP/1.1 " + status + " Unknown\r\nContent-Length: 2\r\n\r\nok"));
+    const auto result = run(request("GET"));
+    BOOST_TEST(!result.complete);
+    BOOST_TEST(sink.heads == 0U);
+}
+
 BOOST_DATA_TEST_CASE(answer_beforeTheTargetReadsTheBody_isComplete, (std::vector<int>{500, 3'000}), openForMs)
 {
     const RawServer target(targetAddress, [openForMs](RawSocket &socket, unsigned) {
