Event loop: a sender without pause no longer keeps the loop to itself

A few remote sides that send as fast as they are read could stop a node: no timer runs, no other connection is accepted or read, and its clock stands still. Cause: a stream that has read its share of a turn defers the rest, and calls deferred by a deferred call run in the same turn, which therefore lasts as long as bytes arrive.

The rest is now read in the next turn, after other sockets and timers (EventLoop::deferToNextTurn).

Test: test_loop stream_senderNeverStops_timersRun, four senders on loopback.

--- a/src/loop/eventloop.cpp
+++ b/src/loop/eventloop.cpp
@@ -244,6 +244,20 @@
     }
 }
 
+void EventLoop::deferToNextTurn(std::function<void()> call)
+{
+    m_nextTurn.push_back(std::move(call));
+}
+
+void EventLoop::runNextTurn()
+{
+    std::vector<std::function<void()>> calls;
+    calls.swap(m_nextTurn);
+    for (const auto &call : calls) {
+        runGuarded("deferred call", call);
+    }
+}
+
 void EventLoop::runDeferred()
 {
     while (!m_deferred.empty()) {
@@ -257,7 +271,7 @@
 
 int EventLoop::pollTimeout() const
 {
-    if (!m_deferred.empty()) {
+    if (!m_deferred.empty() || !m_nextTurn.empty()) {
         return 0;
     }
     const auto due = m_timers.nextDue();
@@ -278,6 +292,7 @@
             const auto &event = events[static_cast<std::size_t>(i)];
             dispatch(event.data.u64, event.events);
         }
+        runNextTurn();
         runPosted();
         // A timer that fails ends this call; those due after it run in the next turn.
         runGuarded("timer", [this] { m_timers.run(m_turnTime); });
--- a/src/loop/eventloop.h
+++ b/src/loop/eventloop.h
@@ -104,6 +104,9 @@
     }
     /// Runs `call` at the end of this turn.
     void defer(std::function<void()> call);
+    /// Runs `call` in the next turn, so that other sockets and timers have their turn before. For work that may go on for as long as a remote
+    /// side wants; calls deferred by a deferred call run in the same turn.
+    void deferToNextTurn(std::function<void()> call);
     /// Destroys `object` at the end of this turn, so that one of its own functions may call this.
     template<typename T>
     void destroyLater(std::unique_ptr<T> object)
@@ -127,6 +130,7 @@
     void dispatch(WatchId id, std::uint32_t events);
 
     int pollTimeout() const;
+    void runNextTurn(); ///< calls deferred by the turn before
     void runDeferred();
     void runPosted();
 
@@ -137,6 +141,7 @@
     TimePoint m_turnTime;
     std::uint64_t m_unexpectedErrors = 0;
     std::vector<std::function<void()>> m_deferred;
+    std::vector<std::function<void()>> m_nextTurn;
     std::atomic<bool> m_stopped{false};
     std::mutex m_postMutex; ///< guards m_posted
     std::vector<std::function<void()>> m_posted;
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -240,7 +240,7 @@
         cause = n == 0 ? CloseCause::EndOfStream : errno == ETIMEDOUT ? CloseCause::TimedOut : CloseCause::Reset;
     }
     if (m_readable) {
-        resumeInput(); // reads the rest at the end of the turn
+        m_loop.deferToNextTurn(readCall()); // the rest
     }
     const std::weak_ptr<TcpStream *> alive = m_self;
     if (m_input.size() > before) {
@@ -284,12 +284,17 @@
     if (!m_readable) {
         return;
     }
-    m_loop.defer([self = std::weak_ptr(m_self)] {
+    m_loop.defer(readCall());
+}
+
+std::function<void()> TcpStream::readCall() const
+{
+    return [self = std::weak_ptr(m_self)] {
         const auto alive = self.lock();
         if (alive && (*alive)->m_fd >= 0 && !(*alive)->m_paused && (*alive)->m_readable) {
             (*alive)->readAll();
         }
-    });
+    };
 }
 
 // ---- [output] ---------------------------------------------------------------------------------------------------
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -15,6 +15,7 @@
 #include "kernel/endpoint.h"
 #include "loop/eventloop.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -101,6 +102,7 @@
 private:
     TcpStream(EventLoop &loop, int fd, StreamEvents &events, const StreamOptions &options, bool connected);
     void readAll();
+    std::function<void()> readCall() const; ///< reads if input is not paused then
     void scheduleFlush();
     void sendPending(); ///< as much as the kernel takes now
     void finishConnect();
--- a/tests/loop/eventloop_test.cpp
+++ b/tests/loop/eventloop_test.cpp
@@ -278,4 +278,61 @@
     BOOST_TEST(stream->input() == "hello");
 }
 
+/// Guards against a loop that reads from the fastest senders only.
+BOOST_AUTO_TEST_CASE(stream_senderNeverStops_timersRun)
+{
+    constexpr std::uint64_t MostBytes = 5'000'000'000;
+    constexpr unsigned Senders = 4;
+    std::atomic<bool> stopped{false};
+    std::uint64_t received = 0;
+    int runs = 0;
+    struct Discarding final : public StreamEvents {
+        std::unique_ptr<TcpStream> stream;
+        std::function<void(std::size_t)> onBytes;
+        void onInput() override
+        {
+            onBytes(stream->input().size());
+            stream->input().clear();
+        }
+        void onClosed(CloseCause) override
+        {
+        }
+    };
+    std::vector<std::unique_ptr<Discarding>> readers;
+    const auto listener = TcpListener::listen(loop, serverAddress(), "test", [&](int fd) {
+        auto reader = std::make_unique<Discarding>();
+        reader->onBytes = [&](std::size_t n) {
+            received += n;
+            if (received > MostBytes) {
+                stopped = true;
+                loop.stop();
+            }
+        };
+        reader->stream = TcpStream::adopt(loop, fd, *reader);
+        readers.push_back(std::move(reader));
+    });
+    std::vector<std::thread> senders;
+    for (unsigned n = 0; n < Senders; ++n) {
+        senders.emplace_back([&] {
+            auto socket = RawSocket::connectTo(serverAddress());
+            const std::string bytes(1 << 20, '.');
+            while (!stopped && socket.send(bytes)) { }
+        });
+    }
+    ScopedTimer timer;
+    timer.repeat(loop.timers(), milliseconds(5), [&](TimePoint) {
+        if (++runs == 50) {
+            loop.stop();
+        }
+    });
+    loop.run();
+    stopped = true;
+    readers.clear();
+    for (auto &each : senders) {
+        each.join();
+    }
+    BOOST_TEST_MESSAGE("received " << received << " bytes, timer ran " << runs << " times");
+    BOOST_TEST(runs == 50);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -129,17 +129,17 @@
     while (!m_stopped) {
         try {
             auto socket = RawSocket::connectTo(node);
+            const timeval sendTimeout{0, std::chrono::microseconds(SendWait).count()};
+            ::setsockopt(socket.fd(), SOL_SOCKET, SO_SNDTIMEO, &sendTimeout, sizeof sendTimeout);
             socket.send(headOf(shape, 0));
             for (std::size_t at = 0; !m_stopped;) {
-                const auto n = ::send(socket.fd(), piece.data() + at, piece.size() - at, MSG_NOSIGNAL | MSG_DONTWAIT);
+                const auto n = ::send(socket.fd(), piece.data() + at, piece.size() - at, MSG_NOSIGNAL);
                 if (n < 0 && errno != EAGAIN) {
                     break; // cut off by the node
                 }
                 const auto sent = static_cast<std::size_t>(std::max<ssize_t>(n, 0));
                 m_sentBytes += sent;
                 at = (at + sent) % piece.size();
-                pollfd poll{socket.fd(), POLLOUT, 0};
-                ::poll(&poll, 1, static_cast<int>(SendWait.count()));
             }
         } catch (const std::runtime_error &) {
             std::this_thread::sleep_for(SendWait); // not accepted
