Links: a streamed body waits where it can be dropped

With all targets of a service on another host, 400 callers with unfinished bodies took the entry node to 92 MB of its 64. Cause: the first 64 to 128 KB of a body that is streamed went into the output of the link at once, with 64 KB more without credit, and neither could be taken back when the request was dropped.

A streamed body is now sent in pieces, as far as the exit node's credit and the link's buffer (64 KB) allow; the rest stays with the request at the entry node, counts toward the share of bodies and goes with the request. The link's output is counted at every write, not every 200 ms. Progress of a caller is counted in bytes received, also while this node does not parse them. An evicted connection is read once more first, and only evicted ones are counted.

Also: a finished request frees its heads, since answers before it may not be complete. 200 callers with 64 pipelined requests and heads of 15 KB took the untouched code to 606 MB.

Test: RemoteCrowds in test_crowds and MemoryCrowds/requests_pipelinedWithLargeHeads, bound 64 MB.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -32,8 +32,8 @@
 /// Descriptors that callers' connections leave to others: connections to the target, the store and the health check. The share is for
 /// processes with few descriptors.
 constexpr std::size_t ReservedDescriptors = 256;
-constexpr std::size_t ReservedShare = 4; ///< at most one part in this many
-constexpr std::size_t EvictionBatch = 128; ///< at the limit, one connection in this many makes room, so that not every new one needs a search
+constexpr std::size_t ReservedShare = 4; ///< at most one descriptor in this many is reserved
+constexpr std::size_t EvictionBatch = 128; ///< one open connection in this many is evicted at once, so that not every new one needs a search
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool expectsContinue(const MessageHead &head)
@@ -77,7 +77,7 @@
     {
     }
 
-    /// Nothing of this node's is under way on the connection.
+    /// Neither an answer nor the work for a complete request is under way on the connection.
     bool waitsForCaller() const
     {
         const bool hasOutput = m_tcp->pendingBytes() > 0;
@@ -89,17 +89,16 @@
         return std::max(m_lastInput, m_idleSince);
     }
 
-    /// Closes the connection to make room for another one.
-    void evict()
+    /// Closes the connection to make room for another one, unless the rest of a request has arrived. Returns whether it did.
+    bool evict()
     {
-        if (m_requests.empty()) {
-            m_tcp->readNow();
-            if (!m_tcp->isOpen() || !waitsForCaller()) {
-                return;
-            }
+        m_tcp->readNow();
+        if (!m_tcp->isOpen() || !waitsForCaller()) {
+            return false;
         }
         logLosses(CloseReason::Evicted);
         abandon();
+        return true;
     }
 
     void updateDelivery()
@@ -155,7 +154,7 @@
             held += each->pendingBody.size() + (isReceived ? each->request().heldBytes() : 0);
         }
         m_account.update(now(), held, m_delivery.handedOver() - m_tcp->pendingBytes(), m_tcp->pendingBytes() > 0);
-        m_bodyAccount.update(now(), unfinishedRequestBytes(), m_inputBytes, awaitsInput());
+        m_bodyAccount.update(now(), unfinishedRequestBytes(), m_tcp->receivedBytes(), awaitsInput());
     }
 
     /// Counts a finished answer as in flight until the caller's host has acknowledged it.
@@ -276,13 +275,7 @@
             m_tcp->input().clear();
             return;
         }
-        const auto before = m_tcp->input().size();
-        const auto alive = std::weak_ptr(m_alive);
         readRequests();
-        if (alive.expired()) {
-            return;
-        }
-        m_inputBytes += before - std::min(before, m_tcp->input().size());
         updateMemoryAccount();
     }
 
@@ -693,7 +686,7 @@
         abandon();
     }
 
-    /// Cancels what runs. A request that was begun ends with a reset, which no caller takes for an answer.
+    /// Cancels what runs and closes the connection; with requests or output left it is reset, so that no answer looks complete.
     void abandon()
     {
         for (const auto &each : m_requests) {
@@ -716,7 +709,7 @@
             .with("request", m_lastRequestId)
             .with("holder", MemoryBudget::holderName(MemoryBudget::Holder::Body))
             .with("held_bytes", unfinishedRequestBytes())
-            .with("received_bytes", m_inputBytes)
+            .with("received_bytes", m_tcp->receivedBytes())
             .with("remedy", "send bodies faster, or give the host more memory");
         auto *exchange = std::exchange(m_receiving, nullptr);
         m_inputEnded = true;
@@ -829,7 +822,6 @@
     bool m_flushing = false;
     std::string m_lastRequestId;
     AnswerDelivery m_delivery;
-    std::uint64_t m_inputBytes = 0; ///< bytes of input that were parsed
     MemoryBudget::Account m_account; ///< of answers, and of requests that were received
     MemoryBudget::Account m_bodyAccount; ///< of input, and of the request that is being received
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
@@ -937,13 +929,14 @@
     const auto n = std::min(waiting.size(), 1 + m_connections.size() / EvictionBatch);
     const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(n);
     std::partial_sort(waiting.begin(), end, waiting.end(), [](const auto *a, const auto *b) { return a->lastActivity() < b->lastActivity(); });
+    const auto open = m_connections.size();
+    const auto evicted = static_cast<std::size_t>(std::count_if(waiting.begin(), end, [](auto *connection) { return connection->evict(); }));
+    m_evicted.add(evicted);
     logEvent(LogLevel::Warning, "connections_evicted")
-        .with("connections", m_connections.size())
+        .with("connections", open)
         .with("waiting", waiting.size())
-        .with("evicted", n)
+        .with("evicted", evicted)
         .with("remedy", "reuse connections, or raise max_fds");
-    std::for_each(waiting.begin(), end, [](auto *connection) { connection->evict(); });
-    m_evicted.add(n);
 }
 
 void CallerHttpServer::remove(Connection &connection)
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -470,18 +470,28 @@
 }
 
 void EntryRequest::onDeadline()
+{
+    endUnfinished(Reason::DeadlinePassed, milliseconds(0));
+}
+
+void EntryRequest::refuseForMemory()
+{
+    endUnfinished(Reason::MemoryFull, MemoryFullRetryAfter);
+}
+
+void EntryRequest::endUnfinished(Reason reason, milliseconds retryAfter)
 {
     if (m_done) {
         return;
     }
     DeliveryResult end;
-    end.reason = Reason::DeadlinePassed;
+    end.reason = reason;
     end.offered = m_attempted;
     end.outcome = m_attempted ? Outcome::Unknown : Outcome::NotRun;
     end.responseStarted = hasForwardedAnswer();
     cancelAttempt();
     m_retryState.mayHaveRun = m_retryState.mayHaveRun || m_attempted;
-    failRequest(end, milliseconds(0));
+    failRequest(end, retryAfter);
 }
 
 void EntryRequest::onCallerDisconnected()
@@ -499,23 +509,12 @@
     finish(0);
 }
 
-void EntryRequest::refuseForMemory()
+std::size_t EntryRequest::heldBytes() const
 {
     if (m_done) {
-        return;
+        return 0;
     }
-    DeliveryResult end;
-    end.reason = Reason::MemoryFull;
-    end.offered = m_attempted;
-    end.outcome = m_attempted ? Outcome::Unknown : Outcome::NotRun;
-    end.responseStarted = hasForwardedAnswer();
-    cancelAttempt();
-    failRequest(end, MemoryFullRetryAfter);
-}
-
-std::size_t EntryRequest::heldBytes() const
-{
-    return m_done ? 0 : HeadCopies * m_head.headBytes + m_body.capacity() + m_heldBody.capacity();
+    return HeadCopies * m_head.headBytes + m_body.capacity() + m_heldBody.capacity() + (m_stream ? m_stream->unsentBodyBytes() : 0);
 }
 
 void EntryRequest::logUnanswered() const
@@ -561,7 +560,10 @@
 {
     m_done = true;
     m_deadlineTimer.cancel();
-    std::string().swap(m_body); // its caller may still be sending the rest
+    // The answers before this one may not be complete, and the caller may still be sending the rest of the body.
+    std::string().swap(m_body);
+    Headers().swap(m_headers);
+    Headers().swap(m_head.headers);
     if (status != 0) {
         m_context.metrics.onAnswer(m_route == nullptr ? RouteKind::Idempotent : m_route->kind, status, m_context.now() - m_arrivedAt);
     }
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -75,6 +75,8 @@
     void failRequest(const DeliveryResult &end, milliseconds retryAfter);
     void refuse(unsigned status, Outcome outcome, Reason reason, milliseconds retryAfter);
     void onDeadline();
+    /// Ends a request that has no complete answer, for a reason of this node.
+    void endUnfinished(Reason reason, milliseconds retryAfter);
     void cancelAttempt();
     void logAttemptEnd(const char *event, const DeliveryResult &end) const;
     void finish(unsigned status);
--- a/src/forward/peerlinks.cpp
+++ b/src/forward/peerlinks.cpp
@@ -40,19 +40,16 @@
         if (!m_account) {
             return;
         }
-        std::size_t held = m_tcp->pendingBytes();
-        for (const auto &[id, request] : m_requests) {
-            held += request.pendingBody.capacity() + (request.unsent ? request.unsent->body.capacity() : 0);
-        }
-        m_account->update(m_links.m_loop.turnTime(), held, 0, false);
+        m_account->update(m_links.m_loop.turnTime(), m_tcp->pendingBytes() + m_unsentBytes, 0, false);
     }
 
     struct Request {
         std::optional<ForwardRequest> unsent; ///< set until the link is connected
         ForwardListener *listener = nullptr;
         std::size_t bodyCredit = BodyWindow; ///< bytes of the request's body that may be sent
-        std::string pendingBody; ///< body bytes received before the link was connected
-        bool pendingBodyComplete = false;
+        std::string pendingBody; ///< of a body that is streamed; waits for credit and for room in the link's buffer
+        bool bodyEnds = false; ///< `pendingBody` has the end of the body
+        bool isBodySent = true; ///< false until the end of a streamed body was sent
     };
 
     std::uint64_t open(ForwardRequest request, ForwardListener &listener)
@@ -61,13 +58,21 @@
         auto &entry = m_requests[id];
         entry.listener = &listener;
         m_lastUsedAt = m_links.m_loop.turnTime();
+        if (!request.bodyComplete) {
+            entry.isBodySent = false;
+            entry.pendingBody = std::move(request.body);
+            request.body.clear();
+        }
         if (isUp()) {
             const auto frame = encodeOpen(id, request, m_links.m_loop.turnTime());
             m_links.m_pacer.onSent(m_links.m_loop.turnTime(), frame.size());
             m_tcp->write(frame);
+            sendPendingBody(id, entry);
         } else {
+            m_unsentBytes += request.body.size();
             entry.unsent = std::move(request);
         }
+        updateMemoryAccount();
         return id;
     }
 
@@ -77,7 +82,9 @@
         if (it == m_requests.end()) {
             return;
         }
-        if (!it->second.unsent && isUp()) {
+        if (it->second.unsent) {
+            m_unsentBytes -= it->second.unsent->body.size();
+        } else if (isUp()) {
             m_tcp->write(encodeLinkCancel(id));
         }
         m_requests.erase(it);
@@ -90,19 +97,23 @@
             return;
         }
         auto &request = it->second;
-        request.bodyCredit -= std::min(request.bodyCredit, bytes.size());
-        if (request.unsent) {
-            request.pendingBody.append(bytes);
-            request.pendingBodyComplete = last;
-            return;
+        request.pendingBody.append(bytes);
+        request.bodyEnds = last;
+        if (!request.unsent) {
+            sendPendingBody(id, request);
+            updateMemoryAccount();
         }
-        writeBody(id, bytes, last);
     }
 
     bool isReadyForBody(std::uint64_t id) const
+    {
+        return unsentBodyBytes(id) == 0;
+    }
+
+    std::size_t unsentBodyBytes(std::uint64_t id) const
     {
         const auto it = m_requests.find(id);
-        return it == m_requests.end() || it->second.bodyCredit > 0;
+        return it == m_requests.end() ? 0 : it->second.pendingBody.size();
     }
 
     void grantCredit(std::uint64_t id, std::size_t bytes)
@@ -179,11 +190,10 @@
         for (auto &[id, request] : m_requests) {
             m_tcp->write(encodeOpen(id, *request.unsent, now));
             request.unsent.reset();
-            if (!request.pendingBody.empty() || request.pendingBodyComplete) {
-                writeBody(id, request.pendingBody, request.pendingBodyComplete);
-                request.pendingBody.clear();
-            }
+            sendPendingBody(id, request);
         }
+        m_unsentBytes = 0;
+        updateMemoryAccount();
         m_links.m_events.onLinkUp(m_peer);
     }
 
@@ -200,6 +210,22 @@
         }
     }
 
+    void onDrained() override
+    {
+        updateMemoryAccount();
+        std::vector<std::uint64_t> waiting;
+        for (const auto &[id, request] : m_requests) {
+            if (!request.pendingBody.empty() && request.bodyCredit > 0) {
+                waiting.push_back(id);
+            }
+        }
+        for (const auto id : waiting) {
+            if (auto *request = find(id)) {
+                continueBody(id, *request);
+            }
+        }
+    }
+
     void onClosed(CloseCause cause) override
     {
         failRequests(cause);
@@ -252,7 +278,7 @@
             const auto *credit = frame.message_as_Credit();
             if (auto *request = find(credit->stream())) {
                 request->bodyCredit += credit->bytes();
-                request->listener->onReadyForBody();
+                continueBody(credit->stream(), *request);
             }
             break;
         }
@@ -277,13 +303,33 @@
         return it == m_requests.end() ? nullptr : &it->second;
     }
 
-    void writeBody(std::uint64_t id, std::string_view bytes, bool last)
+    /// Sends as much of a body as the peer's credit and the link's buffer allow.
+    void sendPendingBody(std::uint64_t id, Request &request)
     {
-        while (bytes.size() > MaxPieceBytes) {
-            m_tcp->write(encodeRequestBody(id, bytes.substr(0, MaxPieceBytes), false));
-            bytes.remove_prefix(MaxPieceBytes);
+        std::string_view left = request.pendingBody;
+        while (!left.empty() && request.bodyCredit > 0 && m_tcp->pendingBytes() < LinkBufferBytes) {
+            const auto piece = left.substr(0, std::min(MaxPieceBytes, request.bodyCredit));
+            left.remove_prefix(piece.size());
+            request.bodyCredit -= piece.size();
+            request.isBodySent = request.bodyEnds && left.empty();
+            m_tcp->write(encodeRequestBody(id, piece, request.isBodySent));
+        }
+        if (left.size() < request.pendingBody.size()) {
+            request.pendingBody = std::string(left); // also frees its memory
+        }
+        if (request.bodyEnds && left.empty() && !request.isBodySent) {
+            request.isBodySent = true;
+            m_tcp->write(encodeRequestBody(id, {}, true));
+        }
+    }
+
+    /// May end the request, by its listener.
+    void continueBody(std::uint64_t id, Request &request)
+    {
+        sendPendingBody(id, request);
+        if (request.pendingBody.empty()) {
+            request.listener->onReadyForBody();
         }
-        m_tcp->write(encodeRequestBody(id, bytes, last));
     }
 
     void failRequests(CloseCause cause)
@@ -319,6 +365,7 @@
     std::uint64_t m_nextStream = 1;
     std::map<std::uint64_t, Request> m_requests; ///< by stream
     std::vector<std::string> m_pendingFrames; ///< to be sent when the link is connected
+    std::size_t m_unsentBytes = 0; ///< of bodies in requests that wait for the link
     std::optional<MemoryBudget::Account> m_account;
     TimePoint m_lastReceivedAt;
     TimePoint m_lastUsedAt;
@@ -358,6 +405,12 @@
         return !link || (*link)->isReadyForBody(m_id);
     }
 
+    std::size_t unsentBodyBytes() const override
+    {
+        const auto link = m_link.lock();
+        return link ? (*link)->unsentBodyBytes(m_id) : 0;
+    }
+
     void grantCredit(std::size_t bytes) override
     {
         if (const auto link = m_link.lock()) {
--- a/src/forward/targetdispatcher.cpp
+++ b/src/forward/targetdispatcher.cpp
@@ -165,7 +165,7 @@
 
     bool isReadyForBody() const
     {
-        return (isRunning() ? m_connection->pendingBytes() : m_pendingBody.size()) < (isRunning() ? StreamWindow : BodyWindow);
+        return isRunning() ? m_connection->pendingBytes() < StreamWindow : m_pendingBody.size() < BodyWindow;
     }
 
     void grantCredit(std::size_t bytes)
@@ -631,6 +631,11 @@
         return active == nullptr || active->isReadyForBody();
     }
 
+    std::size_t unsentBodyBytes() const override
+    {
+        return 0; // the request has its own account
+    }
+
     void grantCredit(std::size_t bytes) override
     {
         if (auto *active = find()) {
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -81,6 +81,7 @@
     virtual ~ForwardStream() = default;
     virtual void sendBody(std::string_view bytes, bool last) = 0;
     virtual bool isReadyForBody() const = 0; ///< if false, wait for `onReadyForBody`
+    virtual std::size_t unsentBodyBytes() const = 0; ///< of the body; held for the entry side until they can be sent, and counted by it
     virtual void grantCredit(std::size_t bytes) = 0; ///< `bytes` more of the answer may be sent, since as many were consumed
     /// The entry node is stopping: it gives up at `deadline` if that is earlier, and the request is not to be ended for another target.
     virtual void onEntryStops(TimePoint deadline) = 0;
@@ -94,6 +95,6 @@
 };
 
 constexpr std::size_t StreamWindow = 256 * 1024; ///< bytes of one body that may be in flight before the receiver returns credit
-constexpr std::size_t BodyWindow = 64 * 1024; ///< the same for the body of a request on a link; requests are many, and the target may not read theirs
+constexpr std::size_t BodyWindow = 64 * 1024; ///< bytes of a request body that may be sent over a link before the exit node returns credit
 
 } // namespace Fescuenotch
--- a/src/loop/tcpstream.cpp
+++ b/src/loop/tcpstream.cpp
@@ -227,6 +227,7 @@
         const auto n = ::recv(m_fd, buffer.data(), std::min(buffer.size(), room), 0);
         if (n > 0) {
             m_input.append(buffer.data(), static_cast<std::size_t>(n));
+            m_receivedBytes += static_cast<std::size_t>(n);
             continue;
         }
         if (n < 0 && errno == EINTR) {
--- a/src/loop/tcpstream.h
+++ b/src/loop/tcpstream.h
@@ -78,6 +78,10 @@
     /// Bytes passed to the kernel that the remote host has not acknowledged; 0 where the kernel does not tell.
     std::size_t unacknowledgedBytes() const;
     std::size_t unreadBytes() const; ///< bytes received by the kernel and not yet read; closing now discards them and resets the connection
+    std::uint64_t receivedBytes() const ///< since the stream began
+    {
+        return m_receivedBytes;
+    }
     std::size_t heldInputBytes() const; ///< memory that the input keeps after `onInput`
     bool isOpen() const
     {
@@ -122,6 +126,7 @@
     bool m_notifyDrained = false; ///< call `onDrained` when all output is sent
     bool m_shutdownWhenSent = false;
     std::string m_input;
+    std::uint64_t m_receivedBytes = 0;
     std::string m_output;
     std::size_t m_sentBytes = 0; ///< bytes at the front of m_output that were passed to the kernel
     ScopedTimer m_connectTimer;
--- a/tests/crowds/crowds_test.cpp
+++ b/tests/crowds/crowds_test.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 
 using namespace Fescuenotch;
 using namespace Fescuenotch::Tests;
@@ -52,7 +53,7 @@
     return json.dump();
 }
 
-/// Two nodes with a target each. A crowd is sent to the first one.
+/// Two nodes with a target each. A crowd is sent to the first one, for the service "desk".
 class CrowdFixture
 {
 public:
@@ -61,15 +62,16 @@
     {
     }
 
-    void start(const std::string &configuration, double memoryMegabytes, unsigned maxDescriptors)
+    void start(const std::string &configuration, double memoryMegabytes, unsigned maxDescriptors, const std::string &firstService = "desk")
     {
         for (std::size_t n = 0; n < 2; ++n) {
             const auto address = nextAddress();
             const auto name = std::to_string(n);
-            NodePlace place{m_folder.path(), "node" + name, address, address, "desk", "one", m_store.endpoint(), seconds(4), memoryMegabytes, maxDescriptors};
+            const auto service = n == 0 ? firstService : "desk";
+            NodePlace place{m_folder.path(), "node" + name, address, address, service, "one", m_store.endpoint(), seconds(4), memoryMegabytes, maxDescriptors};
             m_nodes.push_back(std::make_unique<NodeProcess>(place));
             m_targets.push_back(std::make_unique<PlatformTarget>("t" + name, m_nodes[n]->targetEndpoint(), m_journal));
-            m_store.put("servers/t" + name, entryText("desk", m_nodes[n]->targetEndpoint(), "one"));
+            m_store.put("servers/t" + name, entryText(service, m_nodes[n]->targetEndpoint(), "one"));
         }
         m_store.put("op/config", configuration);
         for (const auto &node : m_nodes) {
@@ -135,6 +137,17 @@
         checkLimits();
     }
 
+    void runEndlessSenders(bool announces)
+    {
+        {
+            const EndlessSenders senders(node(0).callerEndpoint(), EndlessCallers, announces);
+            BOOST_TEST(waitUntil([&] { return senders.sentBytes() > EndlessSentBytes; }, HangLimit), "sent " << senders.sentBytes() << " bytes");
+            checkServed();
+        }
+        checkServed();
+        checkLimits();
+    }
+
     void sampleDescriptors()
     {
         for (std::size_t n = 0; n < m_nodes.size(); ++n) {
@@ -175,6 +188,15 @@
     }
 };
 
+/// All targets of the service are at the second node, so every body crosses the link.
+struct RemoteCrowdFixture : CrowdFixture {
+    RemoteCrowdFixture()
+    {
+        start(crowdConfiguration(), MemoryMegabytes, 0, "feed");
+        BOOST_REQUIRE(isServed(0));
+    }
+};
+
 struct DescriptorCrowdFixture : CrowdFixture {
     DescriptorCrowdFixture()
     {
@@ -245,6 +267,11 @@
     runCrowd({.path = "/read/5", .callers = 400});
 }
 
+BOOST_AUTO_TEST_CASE(requests_pipelinedWithLargeHeads_memoryStaysWithinLimitAndOthersAreServed)
+{
+    runCrowd({.path = "/read/1000", .callers = 200, .requests = 64, .headBytes = 15'000, .bodyBytes = 64'000});
+}
+
 BOOST_AUTO_TEST_CASE(singleBody_asLargeAsAllowedInCalm_isServed)
 {
     const auto head = std::string("POST /file/5 HTTP/1.1\r\nHost: desk\r\nConnection: close\r\n");
@@ -260,31 +287,50 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// ---- [endless senders] ------------------------------------------------------------------------------------------
+// ---- [remote targets] -------------------------------------------------------------------------------------------
 
-BOOST_FIXTURE_TEST_SUITE(EndlessBodies, MemoryCrowdFixture)
+BOOST_FIXTURE_TEST_SUITE(RemoteCrowds, RemoteCrowdFixture)
 
-/// Guards against a node that reads from the fastest callers only.
-BOOST_AUTO_TEST_CASE(bodies_announcedBeyondTheLimitAndSentWithoutEnd_othersAreServed)
+BOOST_AUTO_TEST_CASE(bodies_sentWholeButForOneByte_memoryOfBothHostsStaysWithinLimitAndOthersAreServed)
 {
+    runCrowd({.callers = 400});
+}
+
+BOOST_AUTO_TEST_CASE(bodies_inTinyChunksButForOneByte_memoryOfBothHostsStaysWithinLimitAndOthersAreServed)
+{
+    runCrowd({.callers = 400, .bodyBytes = 100'000, .chunkBytes = 1, .pieceBytes = 8'192});
+}
+
+/// The link takes nothing meanwhile.
+BOOST_AUTO_TEST_CASE(bodies_sentWhileTheOtherNodeIsStopped_memoryStaysWithinLimitAndOthersAreServed)
+{
+    node(1).process().signal(SIGSTOP);
     {
-        const EndlessSenders senders(node(0).callerEndpoint(), EndlessCallers, true);
-        BOOST_TEST(waitUntil([&] { return senders.sentBytes() > EndlessSentBytes; }, HangLimit), "sent " << senders.sentBytes() << " bytes");
+        Crowd crowd(node(0).callerEndpoint(), {.callers = 400});
+        crowd.send(StallLimit, [this] { sampleDescriptors(); });
+        BOOST_TEST(crowd.waitForEnds(HangLimit), "callers of the crowd got no answer and were not cut off");
+        node(1).process().signal(SIGCONT);
         checkServed();
     }
     checkServed();
     checkLimits();
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+// ---- [endless senders] ------------------------------------------------------------------------------------------
+
+BOOST_FIXTURE_TEST_SUITE(EndlessBodies, MemoryCrowdFixture)
+
+/// Guards against a node that reads from the fastest callers only.
+BOOST_AUTO_TEST_CASE(bodies_announcedBeyondTheLimitAndSentWithoutEnd_othersAreServed)
+{
+    runEndlessSenders(true);
+}
+
 BOOST_AUTO_TEST_CASE(bodies_sentInChunksWithoutEnd_othersAreServed)
 {
-    {
-        const EndlessSenders senders(node(0).callerEndpoint(), EndlessCallers, false);
-        BOOST_TEST(waitUntil([&] { return senders.sentBytes() > EndlessSentBytes; }, HangLimit), "sent " << senders.sentBytes() << " bytes");
-        checkServed();
-    }
-    checkServed();
-    checkLimits();
+    runEndlessSenders(false);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -36,8 +36,14 @@
 std::string headOf(const CrowdShape &shape, std::size_t number)
 {
     const auto framing = shape.chunkBytes > 0 ? std::string("Transfer-Encoding: chunked") : "Content-Length: " + std::to_string(shape.bodyBytes);
-    return "POST " + shape.path + " HTTP/1.1\r\nHost: desk\r\n" + Platform::RequestIdHeader + ": crowd-" + std::to_string(number) + "\r\n" + framing
-        + "\r\n\r\n";
+    std::string text;
+    for (std::size_t n = 1; n <= shape.requests; ++n) {
+        text += "POST " + shape.path + " HTTP/1.1\r\nHost: desk\r\n" + Platform::RequestIdHeader + ": crowd-" + std::to_string(number) + "-" + std::to_string(n)
+            + "\r\n";
+        text += shape.headBytes > 0 ? "Filler: " + std::string(shape.headBytes, '.') + "\r\n" : std::string();
+        text += (n < shape.requests ? "Content-Length: 0" : framing) + "\r\n\r\n";
+    }
+    return text;
 }
 
 } // namespace
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -21,6 +21,8 @@
 struct CrowdShape {
     std::string path = "/file/5"; ///< of a route that takes bodies
     std::size_t callers = 300;
+    std::size_t requests = 1; ///< of each caller, sent without waiting for answers; those before the last have no body
+    std::size_t headBytes = 0; ///< about the size of each head; 0: no more than needed
     std::size_t bodyBytes = 250'000; ///< of each body, without chunk framing
     std::size_t chunkBytes = 0; ///< of each chunk; 0: the body has a Content-Length
     std::size_t pieceBytes = 1'000'000; ///< bytes that a caller sends before the next one's turn
