Memory: requests are counted apart from answers

Cause: the rate at which an answer is read is measured from its first byte on, but the account of answers was not empty before: it held the heads of requests and, as a capacity of 15 bytes, each empty string. So the bytes that fill the socket counted as progress.

Requests are counted with the input now, and an answer that is held only in its size.

--- a/src/forward/callerhttpserver.cpp
+++ b/src/forward/callerhttpserver.cpp
@@ -150,11 +150,10 @@
     {
         std::size_t held = m_tcp->pendingBytes();
         for (const auto &each : m_requests) {
-            const bool isReceived = each->hasRequest() && each.get() != m_receiving;
-            held += each->pendingBody.size() + (isReceived ? each->request().heldBytes() : 0);
+            held += each->pendingBody.size() + (each->hasRequest() ? each->request().heldAnswerBytes() : 0);
         }
         m_account.update(now(), held, m_delivery.handedOver() - m_tcp->pendingBytes(), m_tcp->pendingBytes() > 0);
-        m_bodyAccount.update(now(), unfinishedRequestBytes(), m_tcp->receivedBytes(), awaitsInput());
+        m_bodyAccount.update(now(), heldRequestBytes(), m_tcp->receivedBytes(), awaitsInput());
     }
 
     /// Counts a finished answer as in flight until the caller's host has acknowledged it.
@@ -439,9 +438,13 @@
         return m_server.m_context.now();
     }
 
-    std::size_t unfinishedRequestBytes() const
+    std::size_t heldRequestBytes() const
     {
-        return m_tcp->heldInputBytes() + (m_receiving == nullptr ? 0 : m_receiving->request().heldBytes());
+        auto held = m_tcp->heldInputBytes();
+        for (const auto &each : m_requests) {
+            held += each->hasRequest() ? each->request().heldBytes() : 0;
+        }
+        return held;
     }
 
     /// The caller has to send more before the request that it has begun can be served.
@@ -708,7 +711,7 @@
         logEvent(LogLevel::Warning, "body_dropped")
             .with("request", m_lastRequestId)
             .with("holder", MemoryBudget::holderName(MemoryBudget::Holder::Body))
-            .with("held_bytes", unfinishedRequestBytes())
+            .with("held_bytes", heldRequestBytes())
             .with("received_bytes", m_tcp->receivedBytes())
             .with("remedy", "send bodies faster, or give the host more memory");
         auto *exchange = std::exchange(m_receiving, nullptr);
@@ -822,8 +825,9 @@
     bool m_flushing = false;
     std::string m_lastRequestId;
     AnswerDelivery m_delivery;
-    MemoryBudget::Account m_account; ///< of answers, and of requests that were received
-    MemoryBudget::Account m_bodyAccount; ///< of input, and of the request that is being received
+    /// Of answers alone: the rate at which one is read is measured from its first byte on.
+    MemoryBudget::Account m_account;
+    MemoryBudget::Account m_bodyAccount; ///< of input and of requests
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/forward/entryrequest.cpp
+++ b/src/forward/entryrequest.cpp
@@ -514,7 +514,12 @@
     if (m_done) {
         return 0;
     }
-    return HeadCopies * m_head.headBytes + m_body.capacity() + m_heldBody.capacity() + (m_stream ? m_stream->unsentBodyBytes() : 0);
+    return HeadCopies * m_head.headBytes + m_body.capacity() + (m_stream ? m_stream->unsentBodyBytes() : 0);
+}
+
+std::size_t EntryRequest::heldAnswerBytes() const
+{
+    return m_heldBody.size();
 }
 
 void EntryRequest::logUnanswered() const
--- a/src/forward/entryrequest.h
+++ b/src/forward/entryrequest.h
@@ -48,7 +48,8 @@
     void onCallerDisconnected();
     /// Ends a request whose body is not complete, since this node has no room for it.
     void refuseForMemory();
-    std::size_t heldBytes() const; ///< of the request's head and body, and of an answer that is not passed on yet
+    std::size_t heldBytes() const; ///< of the request's head and body
+    std::size_t heldAnswerBytes() const; ///< of an answer that is not passed on yet
     void logUnanswered() const; ///< for a request that the end of the process cuts
 
 private:
